Add the workspace, the design page and the core, kernel and interface headers

Cause: the repository was empty; every later part needs ids, errors, hooks and the build. Ruled out: a free function toString for enumerations, because doctest finds it by argument-dependent lookup and fails to compile on its string_view result; LEAF results from coroutines, because error objects do not survive a suspension (Expected carries them instead).

--- /dev/null
+++ b/cmake/doctest_main.cpp
@@ -0,0 +1,2 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/packages/decision/include/bulrushpitch/decision/route.h
@@ -0,0 +1,61 @@
+#ifndef BULRUSHPITCH_DECISION_ROUTE_H
+#define BULRUSHPITCH_DECISION_ROUTE_H
+
+#include "bulrushpitch/core/clock.h"
+#include "bulrushpitch/core/error.h"
+#include "bulrushpitch/core/ids.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bulrushpitch {
+
+/// @brief What the router knows of a model request.
+struct RouteRequest {
+  TeamId m_Team;
+  ModelId m_Model;
+  TaskName m_Task;
+  RequestId m_Request;
+  std::optional<SessionId> m_Session;
+  std::optional<VersionId> m_Pinned; ///< From a session token or a named version.
+  std::optional<double> m_Quality;   ///< Target between 0 and 1; the team's if absent.
+  TimePoint m_Deadline;
+  Tokens m_PromptTokens;
+  Tokens m_ExpectedTokens;
+  std::vector<std::uint64_t> m_PrefixHashes; ///< Of growing prefixes of the prompt, for cache affinity.
+  bool m_Streaming = false;
+  std::uint32_t m_CascadeStep = 0;    ///< Steps of the cascade already answered and rejected.
+  std::vector<UpstreamId> m_Excluded; ///< Upstreams that already failed for this request.
+};
+
+/// @brief Where a request goes and why.
+struct RouteDecision {
+  UpstreamId m_Upstream;
+  VersionId m_Version;
+  bool m_NeedsPermit = false;       ///< The upstream is cold or ramping: ask its owner for a permit first.
+  bool m_StreamBeforeRating = true; ///< False: hold the answer until it is rated.
+  bool m_RateBeforeRelease = false; ///< The answer is a cascade step that may be escalated.
+  double m_AcceptAt = 0.0;          ///< Rating at which a held answer is kept.
+  double m_PredictedQuality = 0.0;
+  Duration m_ExpectedWait{};
+  std::string m_Reason; ///< One line for logs, the time line and `bulrushpitch explain`.
+};
+
+/// @brief A load report of an upstream as it reached this daemon.
+struct LoadReport {
+  UpstreamId m_Upstream;
+  std::string m_StartId;
+  TimePoint m_ReceivedAt;
+  Duration m_Age{}; ///< How old the figures were when received.
+  std::uint32_t m_Running = 0;
+  std::uint32_t m_Queued = 0;
+  double m_TokensPerSecond = 0.0; ///< Generated over all streams.
+  bool m_Cold = false;
+  bool m_Leaving = false;
+};
+
+} // namespace bulrushpitch
+
+#endif // BULRUSHPITCH_DECISION_ROUTE_H
--- /dev/null
+++ b/packages/net/include/bulrushpitch/net/http_client.h
@@ -0,0 +1,68 @@
+#ifndef BULRUSHPITCH_NET_HTTP_CLIENT_H
+#define BULRUSHPITCH_NET_HTTP_CLIENT_H
+
+#include "bulrushpitch/core/clock.h"
+#include "bulrushpitch/core/expected.h"
+#include "bulrushpitch/net/http_message.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bulrushpitch {
+
+/// @brief A response whose body is read as it arrives.
+class HttpStream {
+public:
+  virtual ~HttpStream() = default;
+  /// @return the status code
+  virtual unsigned status() const = 0;
+  /// @return the header fields
+  virtual const HttpHeaders &headers() const = 0;
+  /// @brief Waits for more of the body.
+  /// @param Timeout how long to wait at most; error 502 after that
+  /// @return some bytes, or nothing at the body's end; error 506 if the connection breaks before the end
+  virtual boost::asio::awaitable<Expected<std::optional<std::string>>> read(Duration Timeout) = 0;
+  /// @brief Closes the connection. A pending read fails with 506.
+  virtual void cancel() = 0;
+};
+
+/// @brief An HTTP/1.1 client that keeps idle connections for reuse.
+///
+/// Errors say what is known: a failed connect (501) is `Ran::No`; once a byte of the request may have left, a
+/// failure is `Ran::Unknown`. A request on a reused connection that closes before a byte of the response is
+/// not repeated by the client.
+class HttpClient {
+public:
+  /// @param Context the loop on which all connections run
+  /// @param Step the step that errors carry, for example "call engine"
+  HttpClient(boost::asio::io_context &Context, std::string Step);
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  /// @brief Sends a request and reads the whole response. Any status is a success.
+  /// @param Timeout for connecting, sending and reading together
+  boost::asio::awaitable<Expected<HttpResponse>> exchange(Endpoint Peer, HttpRequest Request,
+                                                          Duration Timeout);
+  /// @brief Sends a request and reads the response's headers.
+  /// @param Timeout for connecting, sending and the headers together
+  boost::asio::awaitable<Expected<std::unique_ptr<HttpStream>>> open(Endpoint Peer, HttpRequest Request,
+                                                                     Duration Timeout);
+
+  /// @return bytes sent and received so far, over all peers
+  std::uint64_t bytesSent() const;
+  std::uint64_t bytesReceived() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> m_Impl;
+};
+
+} // namespace bulrushpitch
+
+#endif // BULRUSHPITCH_NET_HTTP_CLIENT_H
--- /dev/null
+++ b/packages/net/include/bulrushpitch/net/http_server.h
@@ -0,0 +1,87 @@
+#ifndef BULRUSHPITCH_NET_HTTP_SERVER_H
+#define BULRUSHPITCH_NET_HTTP_SERVER_H
+
+#include "bulrushpitch/core/expected.h"
+#include "bulrushpitch/net/http_message.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace bulrushpitch {
+
+/// @brief Writes the response to one request, whole or in chunks.
+class ResponseWriter {
+public:
+  virtual ~ResponseWriter() = default;
+
+  /// @brief Sends a whole response.
+  virtual boost::asio::awaitable<Expected<Done>> send(HttpResponse Response) = 0;
+  /// @brief Sends the status and headers of a chunked response.
+  virtual boost::asio::awaitable<Expected<Done>> begin(unsigned Status, HttpHeaders Headers) = 0;
+  /// @brief Sends one chunk. Error 107 if the client does not read within the write timeout.
+  virtual boost::asio::awaitable<Expected<Done>> write(std::string_view Chunk) = 0;
+  /// @brief Ends a chunked response.
+  virtual boost::asio::awaitable<Expected<Done>> finish() = 0;
+  /// @return whether the status line has left
+  virtual bool begun() const = 0;
+};
+
+/// @brief Limits of a listener. Each has its own error.
+struct ServerLimits {
+  std::size_t m_MaxHeaderBytes = 16 * 1024;         ///< Error 103 above.
+  std::size_t m_MaxBodyBytes = 8 * 1024 * 1024;     ///< Error 104 above.
+  std::chrono::milliseconds m_IdleTimeout{60'000};  ///< A connection without a request is closed.
+  std::chrono::milliseconds m_ReadTimeout{10'000};  ///< From the first byte of a request to its last.
+  std::chrono::milliseconds m_WriteTimeout{10'000}; ///< For each write to the client.
+  std::size_t m_MaxConnections = 20'000;            ///< Further connections are closed at once.
+};
+
+/// Answers one request. The request and the writer live until the returned coroutine ends.
+using HttpHandler = std::function<boost::asio::awaitable<void>(HttpRequest &, ResponseWriter &)>;
+/// Turns an error that the listener finds by itself (101, 103, 104, 108) into a response.
+using ErrorRenderer = std::function<HttpResponse(const Error &)>;
+
+/// @brief An HTTP/1.1 listener.
+///
+/// @code
+/// HttpServer Server(Context, {"127.0.0.1", 8080}, ServerLimits{}, Handler, Renderer);
+/// Server.start();
+/// @endcode
+class HttpServer {
+public:
+  HttpServer(boost::asio::io_context &Context, Endpoint Address, ServerLimits Limits, HttpHandler Handler,
+             ErrorRenderer Renderer);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  /// @brief Listens and accepts.
+  /// @return error 901 with the address as peer if the address cannot be bound
+  Result<void> start();
+  /// @brief Accepts no more and closes idle connections; requests under way go on.
+  void stopAccepting();
+  /// @brief Closes every connection.
+  void closeAll();
+  /// @return the bound address; the port is the real one if 0 was asked for
+  Endpoint address() const;
+  /// @return connections now open
+  std::size_t openConnections() const;
+  /// @return requests being answered now
+  std::size_t activeRequests() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> m_Impl;
+};
+
+} // namespace bulrushpitch
+
+#endif // BULRUSHPITCH_NET_HTTP_SERVER_H
