--- /dev/null
+++ b/packages/rpc/include/bulrushpitch/rpc/messages.h
@@ -0,0 +1,160 @@
+#ifndef BULRUSHPITCH_RPC_MESSAGES_H
+#define BULRUSHPITCH_RPC_MESSAGES_H
+
+#include "bulrushpitch/config/objects.h"
+#include "bulrushpitch/core/clock.h"
+#include "bulrushpitch/core/ids.h"
+#include "bulrushpitch/net/http_message.h"
+#include "bulrushpitch/timeline/event.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bulrushpitch {
+
+/// @brief The calls of the Peer interface.
+enum class PeerMethod : std::uint8_t {
+  Exchange,
+  Fetch,
+  AcquirePermit,
+  RenewPermit,
+  ReleasePermit,
+  HoldCharges,
+  DropCharges,
+  Probe,
+  Timeline,
+  Status
+};
+inline constexpr std::size_t peerMethodCount = 10;
+
+/// @param Value a call of the Peer interface
+/// @return its name in lower camel case, for example "acquirePermit"
+std::string_view nameOf(PeerMethod Value);
+
+enum class PeerMemberState : std::uint8_t { Alive, Suspect, Dead, Left };
+
+/// @param Value a member's state
+/// @return "alive", "suspect", "dead" or "left"
+std::string_view nameOf(PeerMemberState Value);
+
+/// @brief What one daemon tells another about a third.
+struct PeerMember {
+  InstanceId m_Instance{};
+  std::uint64_t m_Incarnation = 0;
+  PeerMemberState m_State = PeerMemberState::Alive;
+  Endpoint m_Address{}; ///< Peer RPC address.
+  DomainId m_Domain{};
+  ConfigRevision m_Confirmed{}; ///< The highest revision that the member is known to hold.
+  friend bool operator==(const PeerMember &, const PeerMember &) = default;
+};
+
+/// @brief What two daemons tell each other in an exchange.
+struct PeerDigest {
+  static constexpr std::size_t maxMembers = 8;
+
+  InstanceId m_Instance{}; ///< The sender.
+  std::uint64_t m_Incarnation = 0;
+  DomainId m_Domain{};
+  RegionId m_Region{};
+  Endpoint m_Rpc{};
+  Endpoint m_Admin{};
+  ConfigRevision m_Revision{};
+  std::uint64_t m_RestrictionHash = 0;     ///< Of the whole set of the sender's restrictions.
+  std::vector<Restriction> m_Restrictions{}; ///< Those that the receiver may lack.
+  std::vector<PeerMember> m_Members{};       ///< At most maxMembers; error 702 with more.
+  LamportTime m_Lamport{};
+  std::optional<std::chrono::milliseconds> m_HeadReadAge{}; ///< Age of the newest head-row read, if any.
+  bool m_Push = false;                                    ///< Sent at once because something changed.
+  friend bool operator==(const PeerDigest &, const PeerDigest &) = default;
+};
+
+/// @brief Asks for a configuration.
+struct PeerFetch {
+  ConfigRevision m_Since{}; ///< The revision that the caller holds; 0 if none.
+  friend bool operator==(const PeerFetch &, const PeerFetch &) = default;
+};
+
+/// @brief A configuration, or the difference to one that the caller holds.
+struct PeerDelta {
+  ConfigRevision m_Base{}; ///< The revision that the difference applies to; 0 for a full snapshot.
+  ConfigRevision m_Target{};
+  bool m_Full = false; ///< m_Bytes is a whole snapshot.
+  std::string m_Bytes{};
+  friend bool operator==(const PeerDelta &, const PeerDelta &) = default;
+};
+
+/// @brief Asks the owner of an upstream for a permit, or renews or releases one.
+struct PeerPermitRequest {
+  UpstreamId m_Upstream{};
+  InstanceId m_Requester{};
+  PermitId m_Permit{}; ///< 0 when a permit is acquired.
+  LamportTime m_Lamport{};
+  friend bool operator==(const PeerPermitRequest &, const PeerPermitRequest &) = default;
+};
+
+/// @brief A permit that was granted or renewed. A refusal is an Error (408, 703, 704) with its reason.
+struct PeerPermit {
+  UpstreamId m_Upstream{};
+  PermitId m_Permit{};
+  FencingNumber m_Fencing{}; ///< Of the owner's lease.
+  std::chrono::milliseconds m_Ttl{};
+  LamportTime m_Lamport{};
+  friend bool operator==(const PeerPermit &, const PeerPermit &) = default;
+};
+
+/// @brief A charge that waits for the table service.
+struct PeerCharge {
+  TeamId m_Team{};
+  RequestId m_Request{};
+  std::string m_Json{}; ///< Empty in dropCharges.
+  friend bool operator==(const PeerCharge &, const PeerCharge &) = default;
+};
+
+/// @brief Charges that a backup daemon holds, or may drop, for their owner.
+struct PeerCharges {
+  InstanceId m_Owner{};
+  std::vector<PeerCharge> m_Charges{};
+  LamportTime m_Lamport{};
+  friend bool operator==(const PeerCharges &, const PeerCharges &) = default;
+};
+
+/// @brief Asks a daemon to reach a third one.
+struct PeerProbe {
+  InstanceId m_Target{};
+  Endpoint m_Address{};
+  friend bool operator==(const PeerProbe &, const PeerProbe &) = default;
+};
+
+/// @brief What a probe found.
+struct PeerProbeResult {
+  bool m_Reached = false;
+  std::uint64_t m_Incarnation = 0; ///< Of the target, if it was reached.
+  friend bool operator==(const PeerProbeResult &, const PeerProbeResult &) = default;
+};
+
+/// @brief Events of one daemon.
+struct PeerTimeline {
+  std::vector<TimelineEvent> m_Events{};
+  std::uint64_t m_Dropped = 0; ///< Events that the daemon's recorder has overwritten.
+  friend bool operator==(const PeerTimeline &, const PeerTimeline &) = default;
+};
+
+/// @brief A daemon's own account of itself.
+struct PeerStatus {
+  InstanceId m_Instance{};
+  std::uint64_t m_Incarnation = 0;
+  DomainId m_Domain{};
+  ConfigRevision m_Revision{};
+  bool m_Ready = false;
+  std::string m_Json{}; ///< Further details.
+  friend bool operator==(const PeerStatus &, const PeerStatus &) = default;
+};
+
+} // namespace bulrushpitch
+
+#endif // BULRUSHPITCH_RPC_MESSAGES_H
