--- a/packages/rpc/include/bulrushpitch/rpc/messages.h
+++ b/packages/rpc/include/bulrushpitch/rpc/messages.h
@@ -64,12 +64,12 @@
   Endpoint m_Rpc{};
   Endpoint m_Admin{};
   ConfigRevision m_Revision{};
-  std::uint64_t m_RestrictionHash = 0;     ///< Of the whole set of the sender's restrictions.
+  std::uint64_t m_RestrictionHash = 0;       ///< Of the whole set of the sender's restrictions.
   std::vector<Restriction> m_Restrictions{}; ///< Those that the receiver may lack.
   std::vector<PeerMember> m_Members{};       ///< At most maxMembers; error 702 with more.
   LamportTime m_Lamport{};
   std::optional<std::chrono::milliseconds> m_HeadReadAge{}; ///< Age of the newest head-row read, if any.
-  bool m_Push = false;                                    ///< Sent at once because something changed.
+  bool m_Push = false;                                      ///< Sent at once because something changed.
   friend bool operator==(const PeerDigest &, const PeerDigest &) = default;
 };
 
--- a/packages/timeline/include/bulrushpitch/timeline/event.h
+++ b/packages/timeline/include/bulrushpitch/timeline/event.h
@@ -102,7 +102,7 @@
   std::optional<EventKind> m_Kind{};
   std::optional<WallTime> m_From{};  ///< Inclusive, on the recording process's wall clock.
   std::optional<WallTime> m_Until{}; ///< Exclusive.
-  std::size_t m_Limit = 4096;      ///< The newest events are kept.
+  std::size_t m_Limit = 4096;        ///< The newest events are kept.
 
   /// @return whether @p Event passes; m_Limit is not considered
   bool accepts(const TimelineEvent &Event) const;
