rpc: let the loss of a connection end its calls

Cause: the leak check of the sanitizer build reported connections whose hooks had not ended; Cap'n Proto keeps a call that may not be cancelled, and with it the connection. Ruled out: a leak by the fulfiller; it holds no promise. Conclusion: calls allow cancellation; their hooks still run to their end.

--- a/packages/rpc/src/peer_server.cpp
+++ b/packages/rpc/src/peer_server.cpp
@@ -126,6 +126,8 @@
     if (!Hook)
       return reply<Reply>(Method, Call, protocolError(Method, "this daemon does not offer the method"));
 
+    // Otherwise a lost connection stays in memory for as long as one of its hooks runs.
+    Call.allowCancellation();
     kj::PromiseFulfillerPair<void> Pair = kj::newPromiseAndFulfiller<void>();
     std::shared_ptr<RunningCall<Reply>> Running = std::make_shared<RunningCall<Reply>>(
         RunningCall<Reply>{Fulfiller<void>(m_Shared->m_Loop, kj::mv(Pair.fulfiller))});
