--- a/packages/core/include/bulrushpitch/core/error.h
+++ b/packages/core/include/bulrushpitch/core/error.h
@@ -33,6 +33,7 @@
   ClientTooSlow = 107,
   IdleTimeout = 108,
   MissingIdempotencyKey = 109,
+  ClientGone = 110,
 
   Unauthorized = 201,
   ModelNotAllowed = 202,
--- a/packages/core/src/error.cpp
+++ b/packages/core/src/error.cpp
@@ -34,6 +34,8 @@
     return "IdleTimeout";
   case ErrorCode::MissingIdempotencyKey:
     return "MissingIdempotencyKey";
+  case ErrorCode::ClientGone:
+    return "ClientGone";
   case ErrorCode::Unauthorized:
     return "Unauthorized";
   case ErrorCode::ModelNotAllowed:
--- /dev/null
+++ b/packages/net/src/http_server.cpp
@@ -0,0 +1,317 @@
+#include "bulrushpitch/net/http_server.h"
+
+#include "detail/deadlines.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <exception>
+#include <optional>
+
+namespace bulrushpitch {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using detail::Watched;
+
+namespace {
+
+constexpr std::chrono::milliseconds SweepInterval{250};
+constexpr std::size_t FirstReadBytes = 4096;
+
+http::fields toFields(const HttpHeaders &Headers) {
+  http::fields Fields;
+  for (const std::pair<std::string, std::string> &Field : Headers.fields())
+    Fields.insert(Field.first, Field.second);
+  return Fields;
+}
+
+class ConnectionWriter : public ResponseWriter {
+public:
+  ConnectionWriter(Watched &Connection, std::chrono::milliseconds Timeout, bool KeepAlive, std::string Peer)
+      : m_Connection(Connection), m_Timeout(Timeout), m_KeepAlive(KeepAlive), m_Peer(std::move(Peer)) {}
+
+  asio::awaitable<Expected<Done>> send(HttpResponse Response) override {
+    http::response<http::string_body> Message;
+    static_cast<http::fields &>(Message) = toFields(Response.m_Headers);
+    Message.result(Response.m_Status);
+    Message.version(11);
+    Message.keep_alive(m_KeepAlive);
+    Message.body() = std::move(Response.m_Body);
+    Message.prepare_payload();
+    m_Begun = true;
+    m_Finished = true;
+    m_Connection.arm(m_Timeout);
+    error_code Code;
+    co_await http::async_write(m_Connection.m_Socket, Message,
+                               asio::redirect_error(asio::use_awaitable, Code));
+    co_return outcome(Code);
+  }
+
+  asio::awaitable<Expected<Done>> begin(unsigned Status, HttpHeaders Headers) override {
+    http::response<http::empty_body> Message;
+    static_cast<http::fields &>(Message) = toFields(Headers);
+    Message.result(Status);
+    Message.version(11);
+    Message.keep_alive(m_KeepAlive);
+    Message.chunked(true);
+    http::response_serializer<http::empty_body> Serializer(Message);
+    m_Begun = true;
+    m_Connection.arm(m_Timeout);
+    error_code Code;
+    co_await http::async_write_header(m_Connection.m_Socket, Serializer,
+                                      asio::redirect_error(asio::use_awaitable, Code));
+    co_return outcome(Code);
+  }
+
+  asio::awaitable<Expected<Done>> write(std::string_view Chunk) override {
+    if (Chunk.empty())
+      co_return Done{};
+    m_Connection.arm(m_Timeout);
+    error_code Code;
+    co_await asio::async_write(m_Connection.m_Socket, http::make_chunk(asio::buffer(Chunk)),
+                               asio::redirect_error(asio::use_awaitable, Code));
+    co_return outcome(Code);
+  }
+
+  asio::awaitable<Expected<Done>> finish() override {
+    m_Finished = true;
+    m_Connection.arm(m_Timeout);
+    error_code Code;
+    co_await asio::async_write(m_Connection.m_Socket, http::make_chunk_last(),
+                               asio::redirect_error(asio::use_awaitable, Code));
+    co_return outcome(Code);
+  }
+
+  bool begun() const override { return m_Begun; }
+  /// @return whether the connection can carry another request
+  bool reusable() const { return m_KeepAlive && m_Finished && !m_Failed; }
+
+private:
+  Expected<Done> outcome(error_code Code) {
+    m_Connection.disarm();
+    if (!Code)
+      return Done{};
+    m_Failed = true;
+    if (m_Connection.m_Expired)
+      return Error{ErrorCode::ClientTooSlow, "write response", m_Peer, Ran::Unknown,
+                   "the client did not read within the write timeout"};
+    return Error{ErrorCode::ClientGone, "write response", m_Peer, Ran::Unknown, Code.message()};
+  }
+
+  Watched &m_Connection;
+  std::chrono::milliseconds m_Timeout;
+  bool m_KeepAlive;
+  std::string m_Peer;
+  bool m_Begun = false;
+  bool m_Finished = false;
+  bool m_Failed = false;
+};
+
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+public:
+  Impl(asio::io_context &Context, Endpoint Address, ServerLimits Limits, HttpHandler Handler,
+       ErrorRenderer Renderer)
+      : m_Context(Context), m_Acceptor(Context), m_Address(std::move(Address)), m_Limits(Limits),
+        m_Handler(std::move(Handler)), m_Renderer(std::move(Renderer)),
+        m_Sweeper(std::make_shared<detail::DeadlineSweeper>(Context, SweepInterval)) {}
+
+  Result<void> start() {
+    error_code Code;
+    const asio::ip::address Address = asio::ip::make_address(m_Address.m_Address, Code);
+    const asio::ip::tcp::endpoint Bound(Address, m_Address.m_Port);
+    if (!Code)
+      m_Acceptor.open(Bound.protocol(), Code);
+    if (!Code)
+      m_Acceptor.set_option(asio::socket_base::reuse_address(true), Code);
+    if (!Code)
+      m_Acceptor.bind(Bound, Code);
+    if (!Code)
+      m_Acceptor.listen(asio::socket_base::max_listen_connections, Code);
+    if (Code)
+      return fail(Error{ErrorCode::Internal, "listen", m_Address.toString(), Ran::No, Code.message()});
+    m_Address.m_Port = m_Acceptor.local_endpoint().port();
+    asio::co_spawn(m_Context, acceptLoop(shared_from_this()), asio::detached);
+    return {};
+  }
+
+  void stopAccepting() {
+    error_code Ignored;
+    m_Acceptor.close(Ignored);
+    m_Stopping = true;
+    for (Watched *Idle : m_Idle)
+      Idle->m_Socket.close(Ignored);
+  }
+
+  void closeAll() {
+    stopAccepting();
+    m_Sweeper->closeAll();
+  }
+
+  const Endpoint &address() const { return m_Address; }
+  std::size_t openConnections() const { return m_Sweeper->size(); }
+  std::size_t activeRequests() const { return m_Active; }
+
+private:
+  static asio::awaitable<void> acceptLoop(std::shared_ptr<Impl> Self) {
+    while (Self->m_Acceptor.is_open()) {
+      error_code Code;
+      asio::ip::tcp::socket Socket =
+          co_await Self->m_Acceptor.async_accept(asio::redirect_error(asio::use_awaitable, Code));
+      if (Code == asio::error::operation_aborted)
+        co_return;
+      if (Code) {
+        // Out of file descriptors: waiting lets open connections end; a tight loop would starve them.
+        asio::steady_timer Pause(Self->m_Context, SweepInterval);
+        co_await Pause.async_wait(asio::redirect_error(asio::use_awaitable, Code));
+        continue;
+      }
+      if (Self->openConnections() >= Self->m_Limits.m_MaxConnections)
+        continue;
+      Socket.set_option(asio::ip::tcp::no_delay(true), Code);
+      asio::co_spawn(Self->m_Context, serve(Self, std::move(Socket)), asio::detached);
+    }
+  }
+
+  static asio::awaitable<void> serve(std::shared_ptr<Impl> Self, asio::ip::tcp::socket Socket) {
+    error_code Code;
+    const asio::ip::tcp::endpoint Remote = Socket.remote_endpoint(Code);
+    const std::string Peer =
+        Code ? std::string() : Endpoint{Remote.address().to_string(), Remote.port()}.toString();
+    Watched Connection(std::move(Socket));
+    const detail::WatchGuard Guard(Self->m_Sweeper, Connection);
+    boost::beast::flat_buffer Buffer;
+    bool Reusable = true;
+    while (Reusable && Connection.m_Socket.is_open())
+      Reusable = co_await Self->serveOne(Connection, Buffer, Peer);
+    Connection.m_Socket.shutdown(asio::ip::tcp::socket::shutdown_both, Code);
+  }
+
+  /// @return whether the connection can carry another request
+  asio::awaitable<bool> serveOne(Watched &Connection, boost::beast::flat_buffer &Buffer,
+                                 const std::string &Peer) {
+    if (Buffer.size() == 0 && !co_await waitForRequest(Connection, Buffer, Peer))
+      co_return false;
+    http::request_parser<http::string_body> Parser;
+    Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_MaxHeaderBytes));
+    Parser.body_limit(m_Limits.m_MaxBodyBytes);
+    Connection.arm(m_Limits.m_ReadTimeout);
+    error_code Code;
+    co_await http::async_read_header(Connection.m_Socket, Buffer, Parser,
+                                     asio::redirect_error(asio::use_awaitable, Code));
+    if (!Code && boost::beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
+      static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+      co_await asio::async_write(Connection.m_Socket, asio::buffer(Continue),
+                                 asio::redirect_error(asio::use_awaitable, Code));
+    }
+    if (!Code)
+      co_await http::async_read(Connection.m_Socket, Buffer, Parser,
+                                asio::redirect_error(asio::use_awaitable, Code));
+    Connection.disarm();
+    if (Code) {
+      co_await refuse(Connection, readError(Code, Connection.m_Expired, Peer), Peer);
+      co_return false;
+    }
+    co_return co_await handle(Connection, Parser.release(), Peer);
+  }
+
+  asio::awaitable<bool> waitForRequest(Watched &Connection, boost::beast::flat_buffer &Buffer,
+                                       const std::string &Peer) {
+    if (m_Stopping)
+      co_return false;
+    Connection.arm(m_Limits.m_IdleTimeout);
+    m_Idle.insert(&Connection);
+    error_code Code;
+    const std::size_t Size = co_await Connection.m_Socket.async_read_some(
+        Buffer.prepare(FirstReadBytes), asio::redirect_error(asio::use_awaitable, Code));
+    m_Idle.erase(&Connection);
+    Buffer.commit(Size);
+    Connection.disarm();
+    if (Connection.m_Expired)
+      co_await refuse(Connection,
+                      Error{ErrorCode::IdleTimeout, "read request", Peer, Ran::No,
+                            "no request arrived within the idle timeout"},
+                      Peer);
+    co_return !Code;
+  }
+
+  asio::awaitable<bool> handle(Watched &Connection, http::request<http::string_body> Message,
+                               const std::string &Peer) {
+    HttpRequest Request;
+    Request.m_Method = std::string(Message.method_string());
+    Request.m_Target = std::string(Message.target());
+    for (const http::fields::value_type &Field : Message)
+      Request.m_Headers.add(std::string(Field.name_string()), std::string(Field.value()));
+    Request.m_Body = std::move(Message.body());
+
+    ConnectionWriter Writer(Connection, m_Limits.m_WriteTimeout, Message.keep_alive() && !m_Stopping, Peer);
+    ++m_Active;
+    std::optional<Error> Failure;
+    try {
+      co_await m_Handler(Request, Writer);
+    } catch (const std::exception &Caught) {
+      Failure = Error{ErrorCode::Internal, "handle request", "", Ran::Unknown, Caught.what()};
+    }
+    --m_Active;
+    if (!Failure && !Writer.begun())
+      Failure =
+          Error{ErrorCode::Internal, "handle request", "", Ran::Unknown, "the handler sent no response"};
+    if (Failure && !Writer.begun())
+      static_cast<void>(co_await Writer.send(m_Renderer(*Failure)));
+    co_return Writer.reusable() && !Failure;
+  }
+
+  asio::awaitable<void> refuse(Watched &Connection, std::optional<Error> Failure, const std::string &Peer) {
+    if (!Failure)
+      co_return;
+    ConnectionWriter Writer(Connection, m_Limits.m_WriteTimeout, false, Peer);
+    static_cast<void>(co_await Writer.send(m_Renderer(*Failure)));
+  }
+
+  static std::optional<Error> readError(error_code Code, bool Expired, const std::string &Peer) {
+    if (Expired)
+      return Error{ErrorCode::ClientTooSlow, "read request", Peer, Ran::No,
+                   "the request did not arrive within the read timeout"};
+    if (Code == http::error::header_limit)
+      return Error{ErrorCode::HeadersTooLarge, "read request", Peer, Ran::No, "the header exceeds the limit"};
+    if (Code == http::error::body_limit)
+      return Error{ErrorCode::BodyTooLarge, "read request", Peer, Ran::No, "the body exceeds the limit"};
+    if (Code.category() == http::make_error_code(http::error::bad_method).category() &&
+        Code != http::error::end_of_stream && Code != http::error::partial_message)
+      return Error{ErrorCode::MalformedHttp, "read request", Peer, Ran::No, Code.message()};
+    return std::nullopt;
+  }
+
+  asio::io_context &m_Context;
+  asio::ip::tcp::acceptor m_Acceptor;
+  Endpoint m_Address;
+  ServerLimits m_Limits;
+  HttpHandler m_Handler;
+  ErrorRenderer m_Renderer;
+  std::shared_ptr<detail::DeadlineSweeper> m_Sweeper;
+  std::unordered_set<Watched *> m_Idle;
+  std::size_t m_Active = 0;
+  bool m_Stopping = false;
+};
+
+HttpServer::HttpServer(asio::io_context &Context, Endpoint Address, ServerLimits Limits, HttpHandler Handler,
+                       ErrorRenderer Renderer)
+    : m_Impl(std::make_shared<Impl>(Context, std::move(Address), Limits, std::move(Handler),
+                                    std::move(Renderer))) {}
+HttpServer::~HttpServer() { m_Impl->closeAll(); }
+Result<void> HttpServer::start() { return m_Impl->start(); }
+void HttpServer::stopAccepting() { m_Impl->stopAccepting(); }
+void HttpServer::closeAll() { m_Impl->closeAll(); }
+Endpoint HttpServer::address() const { return m_Impl->address(); }
+std::size_t HttpServer::openConnections() const { return m_Impl->openConnections(); }
+std::size_t HttpServer::activeRequests() const { return m_Impl->activeRequests(); }
+
+} // namespace bulrushpitch
--- /dev/null
+++ b/packages/net/tests/http_test.cpp
@@ -0,0 +1,133 @@
+#include "bulrushpitch/net/net.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace bulrushpitch;
+namespace asio = boost::asio;
+
+namespace {
+
+HttpResponse renderError(const Error &Failure) {
+  HttpResponse Response;
+  Response.m_Status = 400;
+  Response.m_Body = std::to_string(static_cast<int>(Failure.m_Code));
+  return Response;
+}
+
+/// A server on a free port whose handler echoes, streams or misbehaves by path.
+struct Fixture {
+  explicit Fixture(ServerLimits Limits = {})
+      : m_Server(m_Context, Endpoint{"127.0.0.1", 0}, Limits, handler(), renderError),
+        m_Client(m_Context, "test") {
+    REQUIRE(capture([this] { return m_Server.start(); }));
+  }
+
+  static HttpHandler handler() {
+    return [](HttpRequest &Request, ResponseWriter &Writer) -> asio::awaitable<void> {
+      if (Request.path() == "/throw")
+        throw std::runtime_error("told to fail");
+      if (Request.path() == "/stream") {
+        static_cast<void>(co_await Writer.begin(200, HttpHeaders{}));
+        for (int Index = 0; Index < 3; ++Index)
+          static_cast<void>(co_await Writer.write("part" + std::to_string(Index) + "\n"));
+        static_cast<void>(co_await Writer.finish());
+        co_return;
+      }
+      HttpResponse Response;
+      Response.m_Body = Request.m_Body;
+      static_cast<void>(co_await Writer.send(std::move(Response)));
+    };
+  }
+
+  Expected<HttpResponse> exchange(std::string Target, std::string Body, std::chrono::milliseconds Timeout) {
+    std::optional<Expected<HttpResponse>> Outcome;
+    HttpRequest Request;
+    Request.m_Method = "POST";
+    Request.m_Target = std::move(Target);
+    Request.m_Body = std::move(Body);
+    asio::co_spawn(
+        m_Context,
+        [&]() -> asio::awaitable<void> {
+          Outcome = co_await m_Client.exchange(m_Server.address(), Request, Timeout);
+        },
+        asio::detached);
+    while (!Outcome)
+      m_Context.run_one();
+    return *Outcome;
+  }
+
+  /// Sends raw bytes and returns what comes back until the server closes.
+  std::string raw(const std::string &Bytes) {
+    asio::ip::tcp::socket Socket(m_Context);
+    Socket.connect({asio::ip::make_address("127.0.0.1"), m_Server.address().m_Port});
+    asio::write(Socket, asio::buffer(Bytes));
+    Socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::string Answer;
+    bool Ended = false;
+    asio::async_read(Socket, asio::dynamic_buffer(Answer),
+                     [&](boost::system::error_code, std::size_t) { Ended = true; });
+    while (!Ended)
+      m_Context.run_one();
+    return Answer;
+  }
+
+  asio::io_context m_Context;
+  HttpServer m_Server;
+  HttpClient m_Client;
+};
+
+} // namespace
+
+TEST_CASE("a connection is reused for the next request and a chunked body is read whole") {
+  Fixture Test;
+  CHECK(Test.exchange("/", "hello", std::chrono::seconds(2))->m_Body == "hello");
+  CHECK(Test.exchange("/stream?a=b", "", std::chrono::seconds(2))->m_Body == "part0\npart1\npart2\n");
+  CHECK(Test.m_Server.openConnections() == 1);
+}
+
+TEST_CASE("a refused connect is known not to have run") {
+  Fixture Test;
+  Test.m_Server.closeAll();
+  Expected<HttpResponse> Outcome = Test.exchange("/", "x", std::chrono::seconds(2));
+  REQUIRE_FALSE(Outcome);
+  CHECK(Outcome.error().m_Code == ErrorCode::UpstreamConnect);
+  CHECK(Outcome.error().m_Ran == Ran::No);
+}
+
+TEST_CASE("an exception in a handler is answered with error 901 and the server goes on") {
+  Fixture Test;
+  CHECK(Test.exchange("/throw", "", std::chrono::seconds(2))->m_Body == "901");
+  CHECK(Test.exchange("/", "next", std::chrono::seconds(2))->m_Body == "next");
+}
+
+TEST_CASE("limits and malformed requests have their own error numbers") {
+  ServerLimits Limits;
+  Limits.m_MaxHeaderBytes = 256;
+  Limits.m_MaxBodyBytes = 64;
+  Limits.m_ReadTimeout = std::chrono::milliseconds(300);
+  Limits.m_IdleTimeout = std::chrono::milliseconds(300);
+  Fixture Test(Limits);
+  CHECK(Test.raw("nonsense\r\n\r\n").ends_with("101"));
+  CHECK(Test.raw("GET / HTTP/1.1\r\nX: " + std::string(500, 'a') + "\r\n\r\n").ends_with("103"));
+  CHECK(Test.raw("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'a')).ends_with("104"));
+}
+
+TEST_CASE("random bytes do not end the server") {
+  Fixture Test;
+  std::mt19937 Random(1);
+  for (int Round = 0; Round < 200; ++Round) {
+    std::string Bytes = Round % 2 == 0 ? "POST / HTTP/1.1\r\n" : "";
+    for (std::size_t Left = Random() % 200; Left > 0; --Left)
+      Bytes.push_back(static_cast<char>(Random()));
+    Test.raw(Bytes);
+  }
+  CHECK(Test.exchange("/", "alive", std::chrono::seconds(2))->m_Body == "alive");
+}
