--- a/packages/platform/include/bulrushpitch/platform/detail/wire.h
+++ b/packages/platform/include/bulrushpitch/platform/detail/wire.h
@@ -24,6 +24,7 @@
 Expected<std::vector<Row>> decodeRows(std::string_view Body);
 /// @param Writes the transaction that was sent; rows and flags must match it in number and order
 Expected<CommitOutcome> decodeCommit(std::string_view Body, const std::vector<RowWrite> &Writes);
+Expected<Done> decodeStored(std::string_view Body);
 Expected<std::vector<ListedInstance>> decodeInstances(std::string_view Body);
 std::string encodeRating(const RatingRequest &Request);
 Expected<double> decodeRating(std::string_view Body);
--- a/packages/platform/src/wire.cpp
+++ b/packages/platform/src/wire.cpp
@@ -205,6 +205,14 @@
   });
 }
 
+Expected<Done> decodeStored(std::string_view Body) {
+  return decode<Done>(Body, [](const json &Parsed) {
+    if (!flag(Parsed, "stored"))
+      throw Malformed{"the object store reports success without storing"};
+    return Done{};
+  });
+}
+
 Expected<std::vector<ListedInstance>> decodeInstances(std::string_view Body) {
   return decode<std::vector<ListedInstance>>(Body, [](const json &Parsed) {
     std::vector<ListedInstance> Instances;
