decision: implement the routing decisions and their guarantees

Quality is a normal estimate narrowed in three steps (version, task, team), and drops its history when the recent ratings leave it by four standard errors. The router compares a spread sample of a version's upstreams plus those that hold the prefix. A full scan per decision was ruled out because it grows with the number of upstreams; it remains as the fallback when none of the sample can take the request. A version under rollout gets requests only where the old version was chosen, as its own estimate is too wide to be chosen by itself.

--- a/packages/decision/include/bulrushpitch/decision/admission.h
+++ b/packages/decision/include/bulrushpitch/decision/admission.h
@@ -38,7 +38,8 @@
 /// on the calls made. Not thread-safe.
 class AdmissionQueue {
 public:
-  /// @param MostRequests when full, the request of least value per second is refused
+  /// @param MostRequests when full, the team with the most queued time for its weight loses its request of
+  /// least value per second
   explicit AdmissionQueue(std::size_t MostRequests = 1024);
 
   /// @brief Takes the teams' weights and task values. Requests of teams that are gone are refused.
@@ -46,7 +47,7 @@
 
   /// @brief Queues a request.
   /// @return the ticket, or error 403 (cannot meet its deadline) or 404 (queue full)
-  /// @complexity logarithmic in the number of requests, linear in the number of teams
+  /// @complexity linear in the number of teams and of the team's requests that go first
   Expected<std::uint64_t> offer(QueuedRequest Request, TimePoint Now);
 
   /// @brief Takes the next request.
@@ -65,7 +66,7 @@
   std::vector<RefusedRequest> takeRefused(TimePoint Now);
 
   /// @return the time until a request of the team would be served, from the rate of the last seconds
-  Duration expectedWait(const TeamId &Team, TimePoint Now) const;
+  Duration expectedWait(const TeamId &Team) const;
   std::size_t size() const { return m_ByTicket.size(); }
 
 private:
@@ -90,19 +91,22 @@
   };
 
   static double valueOf(const TeamQueue &Queue, const QueuedRequest &Request);
-  static bool tooLate(const QueuedRequest &Request, TimePoint Now);
-  QueuedRequest remove(std::uint64_t Ticket);
+  static TimePoint latestStart(const QueuedRequest &Request);
   void insert(QueuedRequest Request);
+  QueuedRequest remove(std::uint64_t Ticket);
+  QueuedRequest serve(const TeamId &Team, TeamQueue &Queue, TimePoint Now);
   void dropLate(TimePoint Now);
-  bool shedFor(double Value);
+  void shed();
   void refuse(QueuedRequest Request, ErrorCode Code, const char *Why);
+  std::map<TeamId, TeamQueue>::iterator nextTurn(std::map<TeamId, TeamQueue>::iterator At);
+  void skipEmptyRounds();
+  Duration waitBehind(const TeamQueue &Queue, double TimeAhead) const;
   void countServed(double Seconds, TimePoint Now);
 
   std::size_t m_Most;
   std::map<TeamId, TeamQueue> m_Teams;
   std::map<std::uint64_t, Place> m_ByTicket;
   std::set<std::pair<TimePoint, std::uint64_t>> m_ByLatestStart;
-  std::set<std::pair<double, std::uint64_t>> m_ByValue; ///< The least valuable first.
   std::vector<RefusedRequest> m_Refused;
   std::optional<TeamId> m_Turn; ///< The team that is being served.
   bool m_TurnPaid = false;      ///< Whether that team got its quantum in this turn.
--- a/packages/decision/include/bulrushpitch/decision/router.h
+++ b/packages/decision/include/bulrushpitch/decision/router.h
@@ -95,10 +95,12 @@
     bool m_Withdrawn = false;
     double m_PromptPrice = 0.0;
     double m_CompletionPrice = 0.0;
-    std::int32_t m_Quality = -1; ///< Index in the quality estimates.
-    std::vector<Index> m_Hosts;  ///< All upstreams that serve the version.
-    std::vector<Index> m_Near;   ///< Of them, those in this region that are not excluded.
-    std::vector<Index> m_Far;
+    double m_PriorQuality = 0.0;
+    std::int32_t m_Quality = -1;    ///< Index in the quality estimates.
+    std::vector<Index> m_Hosts;     ///< All upstreams that serve the version.
+    std::vector<bool> m_Serves;     ///< By upstream, whether it serves the version.
+    std::vector<Index> m_NearHosts; ///< Of the hosts, those in this region that are not excluded.
+    std::vector<Index> m_FarHosts;  ///< Of the hosts, those in other regions that are not excluded.
   };
   struct CompiledStep {
     Index m_Version = 0;
@@ -148,38 +150,41 @@
     Index m_Upstream = 0;
     double m_CachedShare = 0.0;
   };
-  struct Attempt {
-    UpstreamId m_Upstream;
-    bool m_Served = false;
-  };
-  enum class Obstacle : std::uint8_t { None, NoHost, Excluded, Full, Link, Deadline };
+  /// Why a version's upstreams cannot take a request, in rising order of what is reported.
+  enum class Obstacle : std::uint8_t { None, NoHost, Excluded, Link, Deadline, Full };
 
-  // Implementation notes are in src/router.cpp.
-  void compileTeams(const Configuration &Config);
   void compileModels(const Configuration &Config);
   void compileHosts(const Configuration &Config);
+  void compileTeams(const Configuration &Config);
   void refreshHosts(TimePoint Now);
-  Expected<Done> gather(const CompiledTeam &Team, const CompiledModel &Model, const RouteRequest &Request,
-                        double Target);
+
+  Expected<Done> gather(const CompiledTeam &Team, Index Model, const RouteRequest &Request, double Target);
   Expected<Done> gatherPinned(const CompiledTeam &Team, Index Model, const RouteRequest &Request,
                               double Target);
-  void gatherCascade(const CompiledTeam &Team, const CompiledModel &Model, const RouteRequest &Request,
-                     double Target);
-  bool offered(const CompiledTeam &Team, const CompiledModel &Model, Index Version, std::uint64_t Key) const;
+  void gatherCascade(const CompiledTeam &Team, const CompiledModel &Model, const RouteRequest &Request);
+  Candidate direct(Index Version, const RouteRequest &Request, double Target) const;
+  bool offered(const CompiledTeam &Team, const CompiledModel &Model, Index Version) const;
+  static bool alreadyRejected(const CompiledModel &Model, Index Version, const RouteRequest &Request);
   double price(const CompiledVersion &Version, const RouteRequest &Request) const;
   void order(double Target);
   void explore(const RouteRequest &Request, double Target);
-  void findHolders(const RouteRequest &Request);
-  Obstacle place(const Candidate &Choice, const RouteRequest &Request, TimePoint Now, Scored &Best,
-                 Index &Considered);
-  Obstacle score(Index Upstream, const RouteRequest &Request, TimePoint Now, double CachedShare);
-  Index pickNearEqual();
-  Error refusal(ErrorCode Code, const RouteRequest &Request, std::string Detail) const;
-  Error refusalFor(Obstacle Worst, const RouteRequest &Request, TimePoint Now) const;
+  void replaceByRollout(const CompiledModel &Model, const RouteRequest &Request, double Target);
   const VersionId *replacementFor(const CompiledTeam &Team, Index Model) const;
+
+  void findHolders(const RouteRequest &Request);
+  Obstacle place(const Candidate &Choice, const RouteRequest &Request, TimePoint Now);
+  Obstacle sample(const std::vector<Index> &Hosts, const RouteRequest &Request, TimePoint Now);
+  Obstacle score(Index Upstream, const RouteRequest &Request, TimePoint Now);
+  const Scored &pickNearEqual();
   LinkTraffic trafficOf(const RouteRequest &Request) const;
   Bytes linkBytes(const RouteRequest &Request) const;
 
+  void fill(const Candidate &Choice, const Scored &Best, double Target, TimePoint Now,
+            RouteDecision &Into) const;
+  void fillUpstream(const Scored &Best, TimePoint Now, RouteDecision &Into) const;
+  Error refusal(ErrorCode Code, const RouteRequest &Request, std::string Detail) const;
+  Error refusalFor(Obstacle Worst, const RouteRequest &Request, TimePoint Now) const;
+
   QualityEstimator &m_Quality;
   UpstreamTable &m_Upstreams;
   RolloutController &m_Rollouts;
@@ -195,11 +200,16 @@
   std::vector<CompiledModel> m_Models;
   std::vector<CompiledVersion> m_Versions;
   std::vector<CompiledService> m_Services;
-  std::unordered_map<AttemptId, Attempt> m_Attempts;
+  std::vector<bool> m_Near; ///< By upstream, whether it is in this region.
+  std::unordered_map<AttemptId, UpstreamId> m_Attempts;
   std::uint64_t m_HostsGeneration = 0;
   TimePoint m_HostsRefreshedAt{};
 
-  // Buffers that are reused by each decision.
+  // State of the decision under way, kept to reuse the buffers.
+  const CompiledTeam *m_Team = nullptr;
+  std::int32_t m_QualityRow = -1;
+  std::int32_t m_QualityTask = -1;
+  std::size_t m_Usable = 0; ///< Candidates at the front that the request may use.
   std::vector<Candidate> m_Candidates;
   std::vector<Scored> m_Scored;
   std::vector<Holder> m_Holders;
--- a/packages/decision/include/bulrushpitch/decision/upstreams.h
+++ b/packages/decision/include/bulrushpitch/decision/upstreams.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,8 +23,8 @@
 ///
 /// Load reports lag. The known load of an upstream is the reported load of the other daemons plus this
 /// daemon's own outstanding requests, which are known exactly; requests of this daemon that a report already
-/// counts are not counted twice. Upstreams are addressed by an index that stays valid until the next
-/// setConfiguration. Not thread-safe.
+/// counts are not counted twice. Upstreams are addressed by an index that stays the same while the
+/// configuration lists the upstream. Not thread-safe.
 class UpstreamTable {
 public:
   static constexpr std::uint32_t NoIndex = UINT32_MAX;
@@ -31,7 +32,7 @@
   /// @brief Takes the upstreams of a configuration. A new upstream is cold; the upstreams of a domain that
   /// returns are cold; the state of the others is kept.
   /// @complexity O(n log n) in the number of upstreams
-  void setConfiguration(const Configuration &Config, TimePoint Now);
+  void setConfiguration(const Configuration &Config);
 
   /// @name Observations
   /// @{
@@ -80,8 +81,10 @@
   std::uint32_t knownLoad(std::uint32_t Index) const;
   /// @return requests of this daemon at the upstream
   std::uint32_t outstanding(std::uint32_t Index) const { return m_States[Index].m_Own; }
-  /// @return the time between two tokens of a stream, were @p Load requests running
-  Duration tokenGap(std::uint32_t Index, double Load) const;
+  /// @param Load requests running
+  /// @param Usual seconds between tokens of an idle engine that has not reported any
+  /// @return seconds between two tokens of a stream
+  double tokenGap(std::uint32_t Index, double Load, double Usual) const;
   const PrefixCacheIndex &cache() const { return m_Cache; }
   /// @return a number that changes whenever the answer of exclusion may change other than by time
   std::uint64_t generation() const { return m_Generation; }
@@ -99,6 +102,8 @@
     UpstreamId m_Id;
     DomainId m_Domain;
     RegionId m_Region;
+    std::string m_Endpoint;
+    bool m_Present = false; ///< Whether the configuration lists it.
     std::uint32_t m_Capacity = 1;
     std::uint32_t m_ColdLimit = 1;
     Duration m_WarmUp{};
@@ -111,7 +116,6 @@
     Warmth m_Warmth = Warmth::Cold;
     TimePoint m_RampStart{};
     std::string m_StartId;
-    bool m_Reported = false;
     std::uint32_t m_Timeouts = 0;
     std::uint32_t m_Own = 0;
     std::uint32_t m_Others = 0;
@@ -121,12 +125,14 @@
     std::uint32_t m_HistoryNext = 0;
   };
 
-  void coolDown(State &Target, std::uint32_t Index);
+  std::uint32_t slotFor(const UpstreamId &Id);
+  void coolDown(std::uint32_t Index);
   static std::uint32_t ownAt(const State &Target, TimePoint Then);
   static void note(State &Target, std::int32_t Delta, TimePoint Now);
 
   std::vector<State> m_States;
   std::unordered_map<UpstreamId, std::uint32_t> m_Index;
+  std::set<DomainId> m_UnreachableDomains;
   PrefixCacheIndex m_Cache;
   std::uint64_t m_Generation = 0;
 };
--- /dev/null
+++ b/packages/decision/src/route.cpp
@@ -0,0 +1,58 @@
+#include "bulrushpitch/decision/route.h"
+
+#include <array>
+#include <cstdio>
+
+namespace bulrushpitch {
+
+std::string_view nameOf(RouteRule Value) {
+  switch (Value) {
+  case RouteRule::Pinned:
+    return "pinned";
+  case RouteRule::Direct:
+    return "direct";
+  case RouteRule::Cascade:
+    return "cascade";
+  case RouteRule::Explore:
+    return "explore";
+  case RouteRule::BestEffort:
+    return "best effort";
+  case RouteRule::Service:
+    break;
+  }
+  return "service";
+}
+
+std::string_view nameOf(Warmth Value) {
+  switch (Value) {
+  case Warmth::Cold:
+    return "cold";
+  case Warmth::Ramping:
+    return "ramping";
+  case Warmth::Warm:
+    break;
+  }
+  return "warm";
+}
+
+std::string RouteDecision::reason() const {
+  std::array<char, 256> Text{};
+  std::string Line(nameOf(m_Why.m_Rule));
+  if (m_Why.m_Rule != RouteRule::Service) {
+    std::snprintf(Text.data(), Text.size(),
+                  ": %s at %.0f microcents, quality at least %.3f for target %.3f%s;",
+                  m_Version.value().c_str(), m_Why.m_ExpectedCost, m_Why.m_LowerBound, m_Why.m_Target,
+                  m_StreamBeforeRating ? "" : ", held until rated");
+    Line += Text.data();
+  } else {
+    Line += ":";
+  }
+  std::snprintf(
+      Text.data(), Text.size(), " %s is %s with %u of %u requests, wait %.1f ms, %.0f%% cached, best of %u%s",
+      m_Upstream.value().c_str(), nameOf(m_Why.m_Warmth).data(), m_Why.m_KnownLoad, m_Why.m_Limit,
+      std::chrono::duration<double, std::milli>(m_ExpectedWait).count(), m_Why.m_CachedShare * 100.0,
+      m_Why.m_Considered, m_Why.m_OtherRegion ? ", in the other region" : "");
+  return Line + Text.data();
+}
+
+} // namespace bulrushpitch
