--- a/packages/decision/include/bulrushpitch/decision/quality.h
+++ b/packages/decision/include/bulrushpitch/decision/quality.h
@@ -45,8 +45,9 @@
   double m_TeamDeviation = 0.03;                  ///< Of a team's quality from its task's.
   double m_Spread = 0.15;                         ///< Of single ratings, before any was seen.
   Duration m_HalfLife = std::chrono::minutes(30); ///< After which a rating counts half.
-  /// Distance of the recent ratings from the older ones, in standard deviations, at which the older ones are
-  /// dropped. At 4 a steady version loses its history about once in 30,000 ratings.
+  /// Distance of the recent ratings from the older ones, in standard errors, at which the older ones lose
+  /// their weight. Successive means overlap, so at 4 a steady version loses its history about once in 30,000
+  /// ratings.
   double m_ChangeAt = 4.0;
   double m_RecentRatings = 12.0; ///< Size of the window of recent ratings.
 };
@@ -103,8 +104,8 @@
     double m_Count = 0.0;
     double m_Sum = 0.0;
     double m_SumOfSquares = 0.0;
-    double m_RecentCount = 0.0;
-    double m_RecentSum = 0.0;
+    double m_RecentCount = 0.0; ///< Of a task only: weight of the recent ratings.
+    double m_RecentSum = 0.0;   ///< Of a task only: their differences from the teams' means.
   };
   struct Row {
     TeamId m_Team;
@@ -115,8 +116,9 @@
   using TaskRows = std::unordered_map<TaskName, std::int32_t>;
 
   void decay(TimePoint Now);
-  void addTo(Cell &Target, double Rating) const;
-  bool changed(const Cell &Target) const;
+  static void addTo(Cell &Target, double Rating);
+  bool changed(Cell &OfTask, const Cell &Own, double Rating) const;
+  double spreadSquared(const Cell &Widest) const;
   void dropHistory(std::int32_t VersionIndex, std::int32_t TaskRow);
   Row &rowFor(const TeamId &Team, const TaskName &Task);
   static void grow(std::vector<Cell> &Cells, std::size_t Size);
--- a/packages/decision/src/quality.cpp
+++ b/packages/decision/src/quality.cpp
@@ -10,6 +10,8 @@
 constexpr Duration DecayStep = std::chrono::seconds(10);
 /// Weight of the configured spread against the observed one, in ratings.
 constexpr double SpreadPriorCount = 10.0;
+/// Ratings from which a team's mean is good enough to see a change against it, and what is left after one.
+constexpr double LeastForResidual = 6.0;
 
 /// A normal belief that is narrowed by observations.
 struct Belief {
@@ -89,44 +91,58 @@
     Scale(Each.m_Cells);
 }
 
-void QualityEstimator::addTo(Cell &Target, double Rating) const {
+void QualityEstimator::addTo(Cell &Target, double Rating) {
   Target.m_Count += 1.0;
   Target.m_Sum += Rating;
   Target.m_SumOfSquares += Rating * Rating;
-  const double Keep = 1.0 - 1.0 / m_Settings.m_RecentRatings;
-  Target.m_RecentCount = Target.m_RecentCount * Keep + 1.0;
-  Target.m_RecentSum = Target.m_RecentSum * Keep + Rating;
 }
 
-bool QualityEstimator::changed(const Cell &Target) const {
-  if (Target.m_Count < 3.0 * m_Settings.m_RecentRatings)
+/// Compares ratings with the team's own mean: against the mean of all teams, a change in the mix of teams
+/// would look like a change of the version.
+bool QualityEstimator::changed(Cell &OfTask, const Cell &Own, double Rating) const {
+  if (Own.m_Count < LeastForResidual)
+    return false;
+  const double Keep = 1.0 - 1.0 / m_Settings.m_RecentRatings;
+  OfTask.m_RecentCount = OfTask.m_RecentCount * Keep + 1.0;
+  OfTask.m_RecentSum = OfTask.m_RecentSum * Keep + Rating - Own.m_Sum / Own.m_Count;
+  if (OfTask.m_RecentCount < LeastForResidual)
     return false;
-  const double Mean = Target.m_Sum / Target.m_Count;
-  const double Spread = std::sqrt(std::max(
-      (Target.m_SumOfSquares - Target.m_Sum * Mean + SpreadPriorCount * square(m_Settings.m_Spread)) /
-          (Target.m_Count + SpreadPriorCount),
-      1e-6));
   // An exponentially weighted mean of weight W has the variance of a plain mean of 2 W - 1 ratings.
-  const double Error = Spread / std::sqrt(2.0 * Target.m_RecentCount - 1.0);
-  return std::abs(Target.m_RecentSum / Target.m_RecentCount - Mean) > m_Settings.m_ChangeAt * Error;
+  const double Error = std::sqrt(spreadSquared(OfTask) / (2.0 * OfTask.m_RecentCount - 1.0));
+  return std::abs(OfTask.m_RecentSum / OfTask.m_RecentCount) > m_Settings.m_ChangeAt * Error;
+}
+
+double QualityEstimator::spreadSquared(const Cell &Widest) const {
+  const double Scatter = Widest.m_Count > 0.0
+                             ? std::max(0.0, Widest.m_SumOfSquares - square(Widest.m_Sum) / Widest.m_Count)
+                             : 0.0;
+  return (Scatter + SpreadPriorCount * square(m_Settings.m_Spread)) / (Widest.m_Count + SpreadPriorCount);
 }
 
+/// Moves all teams' means by the recent difference, and leaves them the weight of few ratings.
 void QualityEstimator::dropHistory(std::int32_t VersionIndex, std::int32_t TaskRow) {
   const std::size_t At = static_cast<std::size_t>(VersionIndex);
   Cell &Task = m_ByTask[static_cast<std::size_t>(TaskRow)][At];
+  const double Shift = Task.m_RecentSum / Task.m_RecentCount;
+  Cell Next;
+  for (Row &Each : m_Rows) {
+    Cell &Own = Each.m_Cells[At];
+    if (Each.m_TaskRow != TaskRow || Own.m_Count <= 0.0)
+      continue;
+    const double Mean = std::clamp(Own.m_Sum / Own.m_Count + Shift, 0.0, 1.0);
+    const double Scatter = std::max(0.0, Own.m_SumOfSquares / Own.m_Count - square(Own.m_Sum / Own.m_Count));
+    Own.m_Count = std::min(Own.m_Count, LeastForResidual);
+    Own.m_Sum = Own.m_Count * Mean;
+    Own.m_SumOfSquares = Own.m_Count * (square(Mean) + Scatter);
+    Next.m_Count += Own.m_Count;
+    Next.m_Sum += Own.m_Sum;
+    Next.m_SumOfSquares += Own.m_SumOfSquares;
+  }
   Cell &All = m_ByVersion[At];
-  const double Mean = Task.m_RecentSum / Task.m_RecentCount;
-  const double SquarePerRating = square(Mean) + square(m_Settings.m_Spread);
-  All.m_Count = std::max(0.0, All.m_Count - Task.m_Count) + Task.m_RecentCount;
-  All.m_Sum = std::max(0.0, All.m_Sum - Task.m_Sum) + Task.m_RecentSum;
-  All.m_SumOfSquares =
-      std::max(0.0, All.m_SumOfSquares - Task.m_SumOfSquares) + Task.m_RecentCount * SquarePerRating;
-  Task.m_Count = Task.m_RecentCount;
-  Task.m_Sum = Task.m_RecentSum;
-  Task.m_SumOfSquares = Task.m_RecentCount * SquarePerRating;
-  for (Row &Each : m_Rows)
-    if (Each.m_TaskRow == TaskRow)
-      Each.m_Cells[At] = Cell{};
+  All.m_Count = std::max(0.0, All.m_Count - Task.m_Count) + Next.m_Count;
+  All.m_Sum = std::max(0.0, All.m_Sum - Task.m_Sum) + Next.m_Sum;
+  All.m_SumOfSquares = std::max(0.0, All.m_SumOfSquares - Task.m_SumOfSquares) + Next.m_SumOfSquares;
+  Task = Next;
 }
 
 void QualityEstimator::record(const TeamId &Team, const TaskName &Task, const VersionId &Rated, double Rating,
@@ -139,10 +155,11 @@
   Row &Own = rowFor(Team, Task);
   const std::size_t At = static_cast<std::size_t>(Found->second);
   Cell &OfTask = m_ByTask[static_cast<std::size_t>(Own.m_TaskRow)][At];
+  const bool Changed = changed(OfTask, Own.m_Cells[At], Bounded);
   addTo(Own.m_Cells[At], Bounded);
   addTo(OfTask, Bounded);
   addTo(m_ByVersion[At], Bounded);
-  if (changed(OfTask))
+  if (Changed)
     dropHistory(Found->second, Own.m_TaskRow);
 }
 
@@ -179,11 +196,7 @@
   const Cell &Task = TaskRow < 0 ? None : m_ByTask[static_cast<std::size_t>(TaskRow)][At];
   const Cell &Own = RowAt < 0 ? None : m_Rows[static_cast<std::size_t>(RowAt)].m_Cells[At];
   const Cell &Widest = Task.m_Count > SpreadPriorCount ? Task : All;
-  const double Scatter = Widest.m_Count > 0.0
-                             ? std::max(0.0, Widest.m_SumOfSquares - square(Widest.m_Sum) / Widest.m_Count)
-                             : 0.0;
-  const double SpreadSquared =
-      (Scatter + SpreadPriorCount * square(m_Settings.m_Spread)) / (Widest.m_Count + SpreadPriorCount);
+  const double SpreadSquared = spreadSquared(Widest);
   const double TaskVariance = square(m_Settings.m_TaskDeviation);
   const double TeamVariance = square(m_Settings.m_TeamDeviation);
   Belief Quality{m_Prior[At], square(m_Settings.m_PriorDeviation)};
