--- a/packages/config/include/bulrushpitch/config/admin_api.h
+++ b/packages/config/include/bulrushpitch/config/admin_api.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace bulrushpitch {
@@ -257,6 +258,19 @@
 /// @return the error; error 102 if the text is something else
 Result<Error> decodeError(std::string_view Text);
 
+/// @brief Builds path and query of a GET request; the values are percent-encoded.
+/// @param Path one of admin_path
+/// @param Parameters names and values; those with an empty value are left out
+std::string adminTarget(std::string_view Path,
+                        const std::vector<std::pair<std::string, std::string>> &Parameters);
+
+/// @return the names of all messages, for example "PublishRequest"
+std::vector<std::string> messageNames();
+
+/// @param Message one of messageNames()
+/// @return all fields of the message's JSON text, in their order
+std::vector<FieldInfo> messageFields(const std::string &Message);
+
 } // namespace bulrushpitch
 
 #endif // BULRUSHPITCH_CONFIG_ADMIN_API_H
--- a/packages/config/include/bulrushpitch/config/settings.h
+++ b/packages/config/include/bulrushpitch/config/settings.h
@@ -55,8 +55,8 @@
 
 /// @brief Limits of the HTTP listeners.
 struct HttpSettings {
-  std::uint64_t m_MaxHeaderBytes = 16 * 1024;
-  std::uint64_t m_MaxBodyBytes = 8 * 1024 * 1024;
+  std::uint64_t m_MaxHeaderBytes = 16 * 1024UL;
+  std::uint64_t m_MaxBodyBytes = 8 * 1024UL * 1024UL;
   std::chrono::milliseconds m_IdleTimeout{60'000};
   std::chrono::milliseconds m_ReadTimeout{10'000};
   std::chrono::milliseconds m_WriteTimeout{10'000};
