protocol: public headers, configuration store and restriction set

Cause: the daemon and the tests need stable interfaces of the state machines. Ruled out: platform types in the actions, because protocol must not depend on a package with input and output; table.h has its own write and outcome structs that map one to one onto the platform's. Conclusion: lifted restriction ids are remembered and carried from revision to revision; otherwise a peer that was cut off brings an ended restriction back.

--- /dev/null
+++ b/packages/protocol/src/config_store.cpp
@@ -0,0 +1,69 @@
+#include "bulrushpitch/protocol/config_store.h"
+
+#include "bulrushpitch/core/hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bulrushpitch {
+
+namespace {
+
+/// Bounds the snapshot: at 20 restrictions a day this covers half a year.
+constexpr std::size_t MaxLifted = 4'096;
+
+} // namespace
+
+bool RevisionGate::offer(ConfigRevision Offered) {
+  if (Offered <= m_Current)
+    return false;
+  m_Current = Offered;
+  return true;
+}
+
+ConfigStore::ConfigStore() : m_Current(std::make_shared<const Configuration>()), m_Effective(m_Current) {}
+
+bool ConfigStore::offer(Configuration Offered) {
+  if (!m_Gate.offer(Offered.m_Revision))
+    return false;
+  m_Current = std::make_shared<const Configuration>(std::move(Offered));
+  m_Restrictions.lift(m_Current->m_Lifted);
+  rebuild();
+  return true;
+}
+
+bool ConfigStore::restrict(const Restriction &Added) { return mergeRestrictions({Added}) == 1; }
+
+std::size_t ConfigStore::mergeRestrictions(const std::vector<Restriction> &Others) {
+  const std::size_t New = m_Restrictions.merge(Others);
+  if (New > 0)
+    rebuild();
+  return New;
+}
+
+void ConfigStore::rebuild() {
+  m_Effective = std::make_shared<const Configuration>(applyRestrictions(*m_Current, m_Restrictions.active()));
+}
+
+std::uint64_t ConfigStore::digest() const {
+  std::uint64_t Hash = mixHash(0, revision().value());
+  for (const RestrictionId &Id : m_Restrictions.ids())
+    Hash = mixHash(Hash, stableHash(Id.value()));
+  return Hash;
+}
+
+Configuration prepareForPublication(Configuration Offered, const Configuration &Base,
+                                    const std::vector<Restriction> &Restrictions) {
+  std::vector<RestrictionId> Lifted = Base.m_Lifted;
+  const std::set<RestrictionId> Known(Lifted.begin(), Lifted.end());
+  for (const RestrictionId &Id : Offered.m_Lifted)
+    if (Known.count(Id) == 0)
+      Lifted.push_back(Id);
+  if (Lifted.size() > MaxLifted)
+    Lifted.erase(Lifted.begin(), Lifted.end() - static_cast<std::ptrdiff_t>(MaxLifted));
+  Offered.m_Lifted = std::move(Lifted);
+  Offered.m_Revision = Base.m_Revision + ConfigRevision(1);
+  return applyRestrictions(Offered, Restrictions);
+}
+
+} // namespace bulrushpitch
