protocol: implement the state machines

Cause: the daemon needs publication, membership, startup gate, leases, permits, claims, charges, tokens, pins, stream order and drain as pure machines. Ruled out: Absent conditions for a batch of claims, because one claim that is taken would fail the other 24; the inserts use SkipIfSet. Reading the publish row before the head row after a lost answer, because a write that lands between the reads then looks like another operator's. Conclusion: the property harness comes next.

--- a/packages/protocol/include/bulrushpitch/protocol/charge_ledger.h
+++ b/packages/protocol/include/bulrushpitch/protocol/charge_ledger.h
@@ -44,8 +44,9 @@
   CopyHolder m_To;
   std::vector<Charge> m_Charges;
 };
-/// @brief Action: tell a daemon that these charges are in the store.
+/// @brief Action: tell a daemon that these charges are in the store; report its answer with dropAnswered().
 struct DropCharges {
+  std::uint64_t m_Token = 0;
   CopyHolder m_To;
   std::vector<std::string> m_Keys;
 };
@@ -62,8 +63,8 @@
   double m_FlushesPerSecond = 100; ///< Of all daemons together.
   std::size_t m_BatchRows = 100;
   std::size_t m_MaxWaiting = 20'000;
-  Duration m_CopyTimeout = std::chrono::seconds(1);  ///< Then another backup daemon is asked.
-  Duration m_StoreTimeout = std::chrono::seconds(5); ///< Then a commit without an answer is repeated.
+  Duration m_HoldLimit =
+      std::chrono::seconds(60); ///< An older copy is written by its holder if the store is up.
 };
 
 /// @brief Keeps every charge in two places until the store has it (design 3.5).
@@ -83,6 +84,11 @@
   ChargeActions committed(TimePoint Now, std::uint64_t Token, const CommitResult &Outcome);
   /// @brief Takes a backup daemon's answer, or its absence.
   ChargeActions heldBy(TimePoint Now, std::uint64_t Token, bool Held);
+  /// @brief Takes a backup daemon's answer to DropCharges, or its absence; the message is repeated until
+  /// answered.
+  void dropAnswered(TimePoint Now, std::uint64_t Token, bool Answered);
+  /// @brief Takes what the head-row poll shows of the store.
+  void storeReachable(bool Up) { m_StoreUp = Up; }
   /// @brief A daemon left, restarted or is suspected: copies that it held are made again, and what it owned
   /// is written from here.
   ChargeActions memberGone(TimePoint Now, const CopyHolder &Gone);
@@ -91,9 +97,9 @@
 
   /// @brief Backup side: holds copies for @p Owner.
   /// @return whether they are held; false when full
-  bool hold(const CopyHolder &Owner, const std::vector<Charge> &Charges);
+  bool hold(TimePoint Now, const CopyHolder &Owner, const std::vector<Charge> &Charges);
   /// @brief Backup side: the charges are in the store.
-  void drop(const std::vector<std::string> &Keys);
+  ChargeActions drop(TimePoint Now, const std::vector<std::string> &Keys);
 
   /// @return own charges that the store has not confirmed
   std::size_t waiting() const { return m_Own.size(); }
@@ -108,36 +114,39 @@
   struct Own {
     Charge m_Charge;
     std::optional<CopyHolder> m_Copy;
-    std::uint64_t m_CopyToken = 0; ///< Of the HoldCharges under way; 0 if none.
-    bool m_Released = false;
-    bool m_TakenOver = false; ///< From a dead owner: no caller waits for it.
+    bool m_Safe = false;              ///< Copied at least once: the end of the answer is released.
+    std::vector<AttemptId> m_Waiting; ///< Attempts whose end is not released yet; none if taken over.
   };
   struct Held {
     Charge m_Charge;
     CopyHolder m_Owner;
+    TimePoint m_Since;
   };
-  struct Copying {
+  struct Batch {
     CopyHolder m_To;
-    TimePoint m_SentAt;
-    std::vector<std::string> m_Keys;
-  };
-  struct Flush {
-    std::uint64_t m_Token = 0;
-    TimePoint m_SentAt;
     std::vector<std::string> m_Keys;
+    std::optional<TimePoint> m_RepeatAt;
   };
+  std::optional<CopyHolder> chooseBackup(TimePoint Now) const;
   void sendCopies(TimePoint Now, ChargeActions &Actions);
-  void flush(TimePoint Now, ChargeActions &Actions);
+  void repeatDrops(TimePoint Now, ChargeActions &Actions);
+  void adoptForgotten(TimePoint Now);
+  void flush(ChargeActions &Actions);
+  void own(const Charge &Added);
+  void release(Own &Safe, ChargeActions &Actions);
   void stored(const std::vector<std::string> &Keys, ChargeActions &Actions);
+  void sendDrop(const CopyHolder &To, std::vector<std::string> Keys, ChargeActions &Actions);
 
   CopyHolder m_Self;
   BackupHook m_Backup;
   ChargeSettings m_Settings;
   std::map<std::string, Own> m_Own;
   std::map<std::string, Held> m_Held;
-  std::map<std::uint64_t, Copying> m_Copies;
-  std::optional<Flush> m_Flush;
-  std::set<InstanceId> m_Unanswered; ///< Daemons that did not answer lately; tried last.
+  std::set<std::string> m_ToCopy;          ///< Own charges without a copy, made or under way.
+  std::map<std::uint64_t, Batch> m_Copies; ///< HoldCharges under way.
+  std::map<std::uint64_t, Batch> m_Drops;  ///< DropCharges that are not answered.
+  std::map<std::uint64_t, std::vector<std::string>> m_Flush; ///< The commit under way.
+  std::map<InstanceId, TimePoint> m_Unanswered;              ///< Daemons that did not answer lately.
   std::optional<TimePoint> m_NextFlush;
   bool m_StoreUp = true;
   std::uint64_t m_NextToken = 1;
--- a/packages/protocol/include/bulrushpitch/protocol/lease_manager.h
+++ b/packages/protocol/include/bulrushpitch/protocol/lease_manager.h
@@ -45,8 +45,6 @@
   Duration m_Margin = std::chrono::milliseconds(200);  ///< For clocks that run at slightly different rates.
   Duration m_Stagger = std::chrono::milliseconds(500); ///< Per place in the rendezvous order.
   Duration m_NoOrders = std::chrono::seconds(2);       ///< At the end of a lease (design 3.11).
-  Duration m_AnswerTimeout =
-      std::chrono::seconds(2); ///< After which an unanswered read or write is repeated.
 };
 
 /// @brief Action: this instance lost the lease; forget the shard's permits.
--- a/packages/protocol/include/bulrushpitch/protocol/membership.h
+++ b/packages/protocol/include/bulrushpitch/protocol/membership.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -20,7 +21,8 @@
 struct MemberUpdate {
   InstanceId m_Instance;
   DomainId m_Domain;
-  std::uint64_t m_Incarnation = 0;
+  std::uint64_t m_Incarnation = 0; ///< Rises with each start of the process.
+  std::uint64_t m_Beat = 0;        ///< Rises when the instance contradicts a suspicion.
   MemberState m_State = MemberState::Alive;
   ConfigRevision m_Revision; ///< The highest that the instance is known to hold.
   bool operator==(const MemberUpdate &) const = default;
@@ -31,13 +33,14 @@
   InstanceId m_From;
   DomainId m_Domain;
   std::uint64_t m_Incarnation = 0;
+  std::uint64_t m_Beat = 0;
   bool m_Ready = false; ///< The sender's startup gate is open.
   bool m_Leaving = false;
   ConfigRevision m_Revision;
   InstanceId m_Publisher; ///< Of m_Revision, if known.
   std::vector<RestrictionId> m_Restrictions;
-  std::vector<MemberUpdate> m_Updates; ///< At most 8.
-  Duration m_HeadAge{};                ///< Age of the newest head-row read the sender knows of.
+  std::vector<MemberUpdate> m_Updates;  ///< At most 8.
+  Duration m_HeadAge = Duration::max(); ///< Age of the newest head-row read the sender knows of.
   LamportTime m_Time;
 };
 /// @return the size of the digest as a message, in bytes (an estimate of the packed encoding)
@@ -146,10 +149,16 @@
     bool m_Probing = false;
   };
   MembershipActions absorb(TimePoint Now, const Digest &From);
-  void apply(const MemberUpdate &Update, MembershipActions &Actions);
+  void apply(TimePoint Now, const MemberUpdate &Update, MembershipActions &Actions);
+  void contradict(TimePoint Now, const MemberUpdate &Update, MembershipActions &Actions);
+  void fetchIfNew(TimePoint Now, const Digest &From, MembershipActions &Actions);
+  void suspect(Member &Suspected, MembershipActions &Actions);
+  void judgePending(TimePoint Now, MembershipActions &Actions);
+  void dropUnlisted(TimePoint Now, MembershipActions &Actions);
   void announce(const InstanceId &Id);
-  std::vector<InstanceId> randomPeers(std::size_t Count, const std::vector<InstanceId> &Excluded);
-  void push(TimePoint Now, std::vector<InstanceId> To, MembershipActions &Actions);
+  std::vector<MemberUpdate> chooseUpdates();
+  std::vector<InstanceId> randomPeers(std::size_t Count, const std::vector<InstanceId> &Excluded = {});
+  void push(TimePoint Now, const std::vector<InstanceId> &To, MembershipActions &Actions);
 
   InstanceId m_Self;
   DomainId m_Domain;
@@ -163,7 +172,11 @@
   std::vector<RestrictionId> m_Restrictions;
   std::map<InstanceId, Member> m_Members;
   std::map<InstanceId, Pending> m_Pending;
-  std::deque<InstanceId> m_Recent; ///< Members whose state changed, the newest first.
+  std::deque<std::pair<InstanceId, int>> m_Recent; ///< Changed members, the newest first, and how often told.
+  std::uint64_t m_Beat = 0;
+  ConfigRevision m_FetchRevision; ///< Of the fetch under way.
+  TimePoint m_FetchAt;
+  std::optional<TimePoint> m_LastTick;
   std::optional<TimePoint> m_HeadRead;
   std::optional<TimePoint> m_NextExchange;
   LamportTime m_Time;
--- a/packages/protocol/include/bulrushpitch/protocol/permits.h
+++ b/packages/protocol/include/bulrushpitch/protocol/permits.h
@@ -115,7 +115,8 @@
     std::map<AttemptId, Permit> m_Permits;
   };
   static std::uint32_t limitOf(const Ramp &Of, TimePoint Now);
-  PermitReply refuse(const PermitRequest &Request, const std::string &Reason) const;
+  static PermitReply refuse(const PermitRequest &Request, const std::string &Reason);
+  PermitReply grant(TimePoint Now, Ramp &Of, const PermitRequest &Request, FencingNumber Fencing);
 
   LeaseHook m_Lease;
   PermitSettings m_Settings;
--- a/packages/protocol/include/bulrushpitch/protocol/publication.h
+++ b/packages/protocol/include/bulrushpitch/protocol/publication.h
@@ -79,6 +79,7 @@
 /// @brief Action: the head row is written; hold the revision here and push it to peers.
 struct InstallRevision {
   ConfigRevision m_Revision;
+  std::string m_Snapshot; ///< Object name; differs from this request's if a retry found an earlier write.
 };
 using PublicationAction = std::variant<PutObject, CommitRows, ReadRow, InstallRevision>;
 using PublicationActions = std::vector<PublicationAction>;
--- a/packages/protocol/include/bulrushpitch/protocol/startup_gate.h
+++ b/packages/protocol/include/bulrushpitch/protocol/startup_gate.h
@@ -19,9 +19,14 @@
 const char *nameOf(GateState Value);
 
 /// @brief Decides when an instance may serve (design 3.1, conditions i and ii).
+///
+/// Condition (ii) is stricter than a count of silent domains. A copy of a published revision may have been
+/// lost with an earlier process of this instance, so one silent domain other than its own could hold the only
+/// copy left. Such a domain is passed over only when 10 s have gone by since the start, the time within which
+/// a revision spreads.
 class StartupGate {
 public:
-  StartupGate(InstanceId Self, TimePoint Now);
+  StartupGate(InstanceId Self, DomainId Domain, TimePoint Now);
   ~StartupGate();
   StartupGate(StartupGate &&) noexcept;
   StartupGate &operator=(StartupGate &&) noexcept;
@@ -39,6 +44,8 @@
   void heard(TimePoint Now, const InstanceId &Peer, ConfigRevision Revision, bool PeerReady);
   /// @brief Takes the revision that this instance holds.
   void holds(TimePoint Now, ConfigRevision Revision);
+  /// @brief Lets time pass. Call at least once a second.
+  void tick(TimePoint Now);
   /// @brief The process was paused: what it knows may be out of date.
   void paused(TimePoint Now);
 
--- a/packages/protocol/include/bulrushpitch/protocol/table.h
+++ b/packages/protocol/include/bulrushpitch/protocol/table.h
@@ -42,6 +42,9 @@
 using ReadResult = Expected<std::optional<TableRow>>;
 
 /// @brief Action: commit these writes in one transaction and report the result with m_Token.
+///
+/// Every action that carries a token gets exactly one outcome; after the executor's time limit that is an
+/// error (602, Ran::Unknown). A machine therefore keeps no time limits of its own for the store.
 struct CommitRows {
   std::uint64_t m_Token = 0;
   std::vector<TableWrite> m_Writes;
--- /dev/null
+++ b/packages/protocol/src/detail/json_row.h
@@ -0,0 +1,28 @@
+#ifndef BULRUSHPITCH_PROTOCOL_DETAIL_JSON_ROW_H
+#define BULRUSHPITCH_PROTOCOL_DETAIL_JSON_ROW_H
+
+#include "bulrushpitch/core/expected.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace bulrushpitch::detail {
+
+/// @brief Decodes a stored row.
+/// @param What the kind of row, for the error text
+/// @param Read takes the parsed JSON and returns the row; may throw nlohmann::json::exception
+/// @return the row, or error 603
+template <typename Function>
+auto decodeRow(const std::string &Value, const char *What, Function &&Read)
+    -> Expected<decltype(Read(nlohmann::json()))> {
+  try {
+    return Read(nlohmann::json::parse(Value));
+  } catch (const nlohmann::json::exception &Failure) {
+    return Error{ErrorCode::PlatformProtocol, std::string("decode ") + What, "table service", Ran::Unknown,
+                 Failure.what()};
+  }
+}
+
+} // namespace bulrushpitch::detail
+
+#endif // BULRUSHPITCH_PROTOCOL_DETAIL_JSON_ROW_H
