protocol: order stream frames by byte; write extra rows with a publication

Cause: engines number frames by byte and may resend text from memory in larger frames, while the assembler counted frames; operators need the history of publications, which must not be separate from the publication itself. Ruled out: a history row written after the commit, because a daemon that dies between the two leaves a revision without history. PublicationRequest is the new name of the machine's input, since the operators' interface has a PublishRequest in the same namespace.

--- a/packages/protocol/include/bulrushpitch/protocol/publication.h
+++ b/packages/protocol/include/bulrushpitch/protocol/publication.h
@@ -35,11 +35,12 @@
 Expected<HeadRow> decodeHead(const std::string &Value);
 
 /// @brief One operator's publication.
-struct PublishRequest {
+struct PublicationRequest {
   PublishId m_Id;
   ConfigRevision m_Base;
-  std::string m_Snapshot;             ///< Encoded configuration of revision m_Base + 1.
-  std::vector<std::string> m_Changed; ///< "kind/name" of the objects that differ from the base.
+  std::string m_Snapshot;                ///< Encoded configuration of revision m_Base + 1.
+  std::vector<std::string> m_Changed;    ///< "kind/name" of the objects that differ from the base.
+  std::vector<TableWrite> m_ExtraWrites; ///< Written in the same transaction, for example the history row.
 };
 
 enum class PublishStage : std::uint8_t {
@@ -92,7 +93,7 @@
 public:
   /// @param Self the instance that publishes
   /// @param Domain the failure domain of @p Self
-  Publication(InstanceId Self, DomainId Domain, PublishRequest Request);
+  Publication(InstanceId Self, DomainId Domain, PublicationRequest Request);
   ~Publication();
   Publication(Publication &&) noexcept;
   Publication &operator=(Publication &&) noexcept;
--- a/packages/protocol/include/bulrushpitch/protocol/stream_assembler.h
+++ b/packages/protocol/include/bulrushpitch/protocol/stream_assembler.h
@@ -11,17 +11,16 @@
 
 namespace bulrushpitch {
 
-/// @brief One frame of an engine's stream: the token at m_Offset, or the end at the offset after the last
-/// token.
+/// @brief One frame of an engine's stream: text from a byte offset on, or the end at the answer's length.
 struct StreamFrame {
   AttemptId m_Attempt;
-  std::uint64_t m_Offset = 0;
+  std::uint64_t m_Offset = 0; ///< In bytes.
   std::string m_Text;
-  bool m_End = false;
+  bool m_End = false; ///< The last frame; it has no text.
   bool operator==(const StreamFrame &) const = default;
 };
 
-/// @brief Puts the frames of one answer into order, each offset exactly once (design 3.6).
+/// @brief Puts the frames of one answer into order, each byte exactly once (design 3.6).
 ///
 /// Only frames of the current attempt count. When another attempt takes over, frames of the earlier one that
 /// are still under way, and those that wait for a gap to be filled, are dropped.
@@ -37,7 +36,7 @@
   /// @brief Cancels the current attempt without another one.
   void cancel();
 
-  /// @return the next offset to be delivered
+  /// @return the next byte offset to be delivered
   std::uint64_t next() const { return m_Next; }
   /// @return whether the end was delivered
   bool complete() const { return m_Complete; }
@@ -47,6 +46,9 @@
   std::uint64_t dropped() const { return m_Dropped; }
 
 private:
+  void keep(StreamFrame Arrived);
+  void deliver(StreamFrame Next, std::vector<StreamFrame> &Ready);
+
   std::optional<AttemptId> m_Attempt;
   std::uint64_t m_Next;
   std::map<std::uint64_t, StreamFrame> m_Waiting;
--- a/packages/protocol/src/publication.cpp
+++ b/packages/protocol/src/publication.cpp
@@ -114,7 +114,7 @@
 }
 
 struct Publication::Impl {
-  Impl(InstanceId OwnId, DomainId OwnDomain, PublishRequest Asked)
+  Impl(InstanceId OwnId, DomainId OwnDomain, PublicationRequest Asked)
       : m_Self(std::move(OwnId)), m_Domain(std::move(OwnDomain)), m_Request(std::move(Asked)) {
     m_Lifecycle.start();
   }
@@ -158,7 +158,7 @@
 
   InstanceId m_Self;
   DomainId m_Domain;
-  PublishRequest m_Request;
+  PublicationRequest m_Request;
   boost::msm::back::state_machine<PublicationLifecycle> m_Lifecycle;
   std::uint64_t m_NextToken = 1;
   std::uint64_t m_Token = 0; ///< Of the step under way; 0 if none.
@@ -184,7 +184,10 @@
   TableWrite PublishWrite{publishKey(m_Request.m_Id), encodePublish(PublishRow{target(), Next.m_Snapshot}),
                           TableCondition::Absent, 0};
   m_Written = Ran::Unknown;
-  return {CommitRows{expect(), {std::move(HeadWrite), std::move(PublishWrite)}}};
+  CommitRows Action{expect(), {std::move(HeadWrite), std::move(PublishWrite)}};
+  Action.m_Writes.insert(Action.m_Writes.end(), m_Request.m_ExtraWrites.begin(),
+                         m_Request.m_ExtraWrites.end());
+  return {std::move(Action)};
 }
 
 PublicationActions Publication::Impl::takeHead(const ReadResult &Outcome, TimePoint Now) {
@@ -225,7 +228,7 @@
   return commit();
 }
 
-Publication::Publication(InstanceId Self, DomainId Domain, PublishRequest Request)
+Publication::Publication(InstanceId Self, DomainId Domain, PublicationRequest Request)
     : m_Impl(std::make_unique<Impl>(std::move(Self), std::move(Domain), std::move(Request))) {}
 Publication::~Publication() = default;
 Publication::Publication(Publication &&) noexcept = default;
