decision: widen a product in a test before it is made

clang-tidy reports the int product that is converted to the price's 64-bit type. The values are small, so nothing was computed wrongly; the widening is now explicit and lint is clean again.

--- a/packages/decision/tests/router_test.cpp
+++ b/packages/decision/tests/router_test.cpp
@@ -50,8 +50,12 @@
     }
   }
   void addVersion(const char *Name, int Price, double Quality) {
-    m_Config.m_Versions[VersionId(Name)] = {VersionId(Name),   ModelId("m"),          VersionState::Active,
-                                            MicroCents(Price), MicroCents(4 * Price), Quality};
+    m_Config.m_Versions[VersionId(Name)] = {VersionId(Name),
+                                            ModelId("m"),
+                                            VersionState::Active,
+                                            MicroCents(Price),
+                                            MicroCents(std::int64_t{4} * Price),
+                                            Quality};
   }
   void publish() { m_Router.setConfiguration(m_Config, m_Now); }
   void rate(const char *Version, double Rating) {
