--- a/packages/standin/src/engine.cpp
+++ b/packages/standin/src/engine.cpp
@@ -309,14 +309,9 @@
   asio::awaitable<void> deliver(StreamPointer From, std::size_t Offset, ResponseWriter &Writer) {
     HttpHeaders Headers;
     Headers.add("Content-Type", "application/x-ndjson");
-    json Frame{{"stream", From->m_Id},
-               {"attempt", From->m_Audit->m_Attempt},
-               {"startId", From->m_StartId},
-               {"promptTokens", From->m_PromptTokens},
-               {"cachedTokens", From->m_CachedTokens}};
     if (!co_await Writer.begin(200, std::move(Headers)))
       co_return;
-    std::string Line = Frame.dump() + "\n";
+    std::string Line = firstFrame(*From);
     if (m_Faults.m_MalformedNext > 0) {
       --m_Faults.m_MalformedNext;
       Line = "{\"malformed\":\n";
@@ -333,14 +328,28 @@
       Line = textFrame(*From, Offset);
       Offset = From->producedBytes();
     }
-    Frame = json{{"offset", From->producedBytes()},
-                 {"done", true},
-                 {"completionTokens", From->completionTokens()},
-                 {"finishReason", From->m_Audit->m_FinishReason}};
-    if (From->finished() && co_await Writer.write(Frame.dump() + "\n"))
+    if (From->finished() && co_await Writer.write(lastFrame(*From)))
       static_cast<void>(co_await Writer.finish());
   }
 
+  // GCC 12 rejects nested initializer lists inside coroutines, so frames are made in functions.
+  static std::string firstFrame(const Stream &From) {
+    const json Frame{{"stream", From.m_Id},
+                     {"attempt", From.m_Audit->m_Attempt},
+                     {"startId", From.m_StartId},
+                     {"promptTokens", From.m_PromptTokens},
+                     {"cachedTokens", From.m_CachedTokens}};
+    return Frame.dump() + "\n";
+  }
+
+  static std::string lastFrame(const Stream &From) {
+    const json Frame{{"offset", From.producedBytes()},
+                     {"done", true},
+                     {"completionTokens", From.completionTokens()},
+                     {"finishReason", From.m_Audit->m_FinishReason}};
+    return Frame.dump() + "\n";
+  }
+
   static std::string textFrame(const Stream &From, std::size_t Offset) {
     const std::vector<std::size_t> &Ends = From.m_Text.m_Ends;
     const auto First = std::upper_bound(Ends.begin(), Ends.end(), Offset);
--- a/packages/standin/src/main.cpp
+++ b/packages/standin/src/main.cpp
@@ -1,4 +1,5 @@
 #include "bulrushpitch/standin/engine.h"
+#include "bulrushpitch/standin/load.h"
 #include "bulrushpitch/standin/platform.h"
 #include "bulrushpitch/standin/service.h"
 
@@ -18,6 +19,39 @@
 
 namespace {
 
+template <typename Unit>
+void addTime(CLI::App &Command, const std::string &Name, Unit &Target, double UnitsPerNumber,
+             const std::string &Description) {
+  Command.add_option_function<double>(
+      Name,
+      [&Target, UnitsPerNumber](const double &Number) {
+        Target = Unit(static_cast<typename Unit::rep>(Number * UnitsPerNumber));
+      },
+      Description);
+}
+
+void addMs(CLI::App &Command, const std::string &Name, Milliseconds &Target, const std::string &Description) {
+  addTime(Command, Name, Target, 1, Description);
+}
+
+void addSeconds(CLI::App &Command, const std::string &Name, Milliseconds &Target,
+                const std::string &Description) {
+  addTime(Command, Name, Target, 1'000, Description);
+}
+
+Endpoint parseAddress(const std::string &Option, const std::string &Text) {
+  const std::optional<Endpoint> Address = bulrushpitch::detail::parseEndpoint(Text);
+  if (!Address)
+    throw std::runtime_error(Option + " is not an IP number with a port: " + Text);
+  return *Address;
+}
+
+template <typename Standin> void startOrThrow(Standin &Started) {
+  const Expected<Done> Outcome = capture([&Started]() -> Result<void> { return Started.start(); });
+  if (!Outcome)
+    throw std::runtime_error(Outcome.error().toString());
+}
+
 /// Settings that engines and services share on the command line.
 struct Fleet {
   std::uint16_t m_Port = 0;
@@ -25,8 +59,6 @@
   std::string m_Name;
   std::vector<std::string> m_Domains{"west-a"};
   std::string m_Platform{};
-  std::int64_t m_WarmUpMs = 30'000;
-  std::int64_t m_LagMs = 300;
   ProcessSettings m_Process{};
 
   void addOptions(CLI::App &Command) {
@@ -37,8 +69,8 @@
     Command.add_option("--platform", m_Platform, "Platform stand-in whose instance list to enter");
     Command.add_option("--capacity", m_Process.m_Capacity, "Requests at once when warm");
     Command.add_option("--cold-limit", m_Process.m_ColdLimit, "Requests at once after a start");
-    Command.add_option("--warm-up-ms", m_WarmUpMs, "Time from the cold limit to the capacity");
-    Command.add_option("--lag-ms", m_LagMs, "Lag of the load report");
+    addMs(Command, "--warm-up-ms", m_Process.m_WarmUp, "Time from the cold limit to the capacity");
+    addMs(Command, "--lag-ms", m_Process.m_Lag, "Lag of the load report");
     Command.add_flag("--warm", m_Process.m_StartsWarm, "Start warm");
   }
 
@@ -48,8 +80,6 @@
     Settings.m_Name = m_Name + "-" + std::to_string(Index + 1);
     Settings.m_Domain = m_Domains.at(Index % m_Domains.size());
     Settings.m_Address.m_Port = static_cast<std::uint16_t>(m_Port + Index);
-    Settings.m_WarmUp = Milliseconds(m_WarmUpMs);
-    Settings.m_Lag = Milliseconds(m_LagMs);
     return Settings;
   }
 };
@@ -67,7 +97,9 @@
       HttpRequest Request;
       Request.m_Method = "POST";
       Request.m_Target = "/standin/instances";
-      Request.m_Body = json{{"put", json::array({Listed.listEntry()})}}.dump();
+      json Body;
+      Body["put"].push_back(Listed.listEntry());
+      Request.m_Body = Body.dump();
       const Expected<HttpResponse> Response = co_await Client.exchange(Platform, Request, Timeout);
       Changed = Changed || !Response || Response->m_Status != 200;
     }
@@ -77,15 +109,11 @@
 
 template <typename Standin>
 void startOne(asio::io_context &Context, const Fleet &Settings, Standin &Started) {
-  const Expected<Done> Outcome = capture([&Started]() -> Result<void> { return Started.start(); });
-  if (!Outcome)
-    throw std::runtime_error(Outcome.error().toString());
-  if (Settings.m_Platform.empty())
-    return;
-  const std::optional<Endpoint> Platform = bulrushpitch::detail::parseEndpoint(Settings.m_Platform);
-  if (!Platform)
-    throw std::runtime_error("--platform is not an IP number with a port");
-  asio::co_spawn(Context, keepListed(Context, *Platform, Started.process()), asio::detached);
+  startOrThrow(Started);
+  if (!Settings.m_Platform.empty())
+    asio::co_spawn(Context,
+                   keepListed(Context, parseAddress("--platform", Settings.m_Platform), Started.process()),
+                   asio::detached);
 }
 
 void runUntilSignal(asio::io_context &Context, const std::string &What) {
@@ -106,8 +134,6 @@
 
 struct PlatformCommand {
   PlatformSettings m_Settings;
-  std::int64_t m_ListLagMs = 500;
-  std::int64_t m_RatingMs = 50;
 
   void addTo(CLI::App &App) {
     CLI::App &Command = *App.add_subcommand("platform", "Table service, object store, instance list, "
@@ -117,35 +143,23 @@
     Command.add_option("--writes", m_Settings.m_WritesPerSecond, "Writes per second");
     Command.add_option("--reads", m_Settings.m_ReadsPerSecond, "Reads per second");
     Command.add_option("--queue", m_Settings.m_QueueLimit, "Requests that may wait for their turn");
-    Command.add_option("--list-lag-ms", m_ListLagMs, "Lag of the instance list");
-    Command.add_option("--rating-ms", m_RatingMs, "Time that a rating takes");
+    addMs(Command, "--list-lag-ms", m_Settings.m_ListLag, "Lag of the instance list");
+    addMs(Command, "--rating-ms", m_Settings.m_RatingTime, "Time that a rating takes");
     Command.callback([this] { run(); });
   }
 
   void run() {
     asio::io_context Context;
-    m_Settings.m_ListLag = Milliseconds(m_ListLagMs);
-    m_Settings.m_RatingTime = Milliseconds(m_RatingMs);
     PlatformStandin Platform(Context, m_Settings);
-    startPlatform(Platform);
+    startOrThrow(Platform);
     runUntilSignal(Context, "platform");
   }
-
-  static void startPlatform(PlatformStandin &Platform) {
-    const Expected<Done> Outcome = capture([&Platform]() -> Result<void> { return Platform.start(); });
-    if (!Outcome)
-      throw std::runtime_error(Outcome.error().toString());
-  }
 };
 
 struct EngineCommand {
   Fleet m_Fleet{.m_Name = "engine"};
   EngineSettings m_Settings;
   std::vector<std::string> m_Versions{"v1=0.8"};
-  double m_BaseGapMs = 8;
-  double m_StreamGapMs = 0.5;
-  std::int64_t m_LoadMs = 5'000;
-  std::int64_t m_EventLagMs = 500;
 
   void addTo(CLI::App &App) {
     CLI::App &Command = *App.add_subcommand("engine", "One or more model engines");
@@ -153,12 +167,13 @@
     m_Fleet.addOptions(Command);
     Command.add_option("--versions", m_Versions, "Loaded versions, <version>=<quality>")->delimiter(',');
     Command.add_option("--queue", m_Fleet.m_Process.m_QueueLimit, "Streams that may wait");
-    Command.add_option("--base-gap-ms", m_BaseGapMs, "Gap between tokens without other streams");
-    Command.add_option("--stream-gap-ms", m_StreamGapMs, "Gap added by each running stream");
+    addTime(Command, "--base-gap-ms", m_Settings.m_BaseGap, 1'000,
+            "Gap between tokens without other streams");
+    addTime(Command, "--stream-gap-ms", m_Settings.m_StreamGap, 1'000, "Gap added by each running stream");
     Command.add_option("--prefill", m_Settings.m_PrefillRate, "Prompt tokens per second");
     Command.add_option("--cache-blocks", m_Settings.m_CacheBlocks, "Blocks of the prefix cache");
-    Command.add_option("--load-ms", m_LoadMs, "Time to load a version or adapter");
-    Command.add_option("--event-lag-ms", m_EventLagMs, "Lag of cache events");
+    addMs(Command, "--load-ms", m_Settings.m_LoadTime, "Time to load a version or adapter");
+    addMs(Command, "--event-lag-ms", m_Settings.m_EventLag, "Lag of cache events");
     Command.add_option("--event-loss", m_Settings.m_EventLoss, "Share of cache events that are lost");
     Command.add_flag("--check-fencing", m_Settings.m_ChecksFencing, "Refuse old fencing numbers");
     Command.callback([this] { run(); });
@@ -167,10 +182,6 @@
   void run() {
     asio::io_context Context;
     m_Settings.m_Versions = parseVersions(m_Versions);
-    m_Settings.m_BaseGap = std::chrono::microseconds(static_cast<std::int64_t>(m_BaseGapMs * 1000));
-    m_Settings.m_StreamGap = std::chrono::microseconds(static_cast<std::int64_t>(m_StreamGapMs * 1000));
-    m_Settings.m_LoadTime = Milliseconds(m_LoadMs);
-    m_Settings.m_EventLag = Milliseconds(m_EventLagMs);
     std::vector<std::unique_ptr<EngineStandin>> Engines;
     for (std::size_t Index = 0; Index < m_Fleet.m_Count; ++Index) {
       m_Settings.m_Process = m_Fleet.process(Index);
@@ -183,34 +194,68 @@
 
 struct ServiceCommand {
   Fleet m_Fleet{.m_Name = "service"};
-  std::int64_t m_WorkMs = 5;
-  std::int64_t m_OpeningBalance = 100'000;
+  Milliseconds m_Work{5};
+  std::shared_ptr<Ledger> m_Books = std::make_shared<Ledger>();
 
   void addTo(CLI::App &App) {
     CLI::App &Command = *App.add_subcommand("service", "One or more processes of a plain service");
     m_Fleet.m_Process.m_Capacity = 64;
     m_Fleet.m_Process.m_ColdLimit = 4;
-    m_Fleet.m_WarmUpMs = 10'000;
+    m_Fleet.m_Process.m_WarmUp = Milliseconds(10'000);
     m_Fleet.addOptions(Command);
-    Command.add_option("--work-ms", m_WorkMs, "Time that a call takes");
-    Command.add_option("--opening-balance", m_OpeningBalance, "Balance of a wallet before its first debit");
+    addMs(Command, "--work-ms", m_Work, "Time that a call takes");
+    Command.add_option("--opening-balance", m_Books->m_OpeningBalance,
+                       "Balance of a wallet before its first debit");
     Command.callback([this] { run(); });
   }
 
   void run() {
     asio::io_context Context;
-    std::shared_ptr<Ledger> Books = std::make_shared<Ledger>();
-    Books->m_OpeningBalance = m_OpeningBalance;
     std::vector<std::unique_ptr<ServiceStandin>> Services;
     for (std::size_t Index = 0; Index < m_Fleet.m_Count; ++Index) {
-      Services.push_back(
-          std::make_unique<ServiceStandin>(Context, m_Fleet.process(Index), Milliseconds(m_WorkMs), Books));
+      Services.push_back(std::make_unique<ServiceStandin>(Context, m_Fleet.process(Index), m_Work, m_Books));
       startOne(Context, m_Fleet, *Services.back());
     }
     runUntilSignal(Context, std::to_string(m_Fleet.m_Count) + " service processes");
   }
 };
 
+struct LoadCommand {
+  LoadSettings m_Settings;
+  std::vector<std::string> m_Daemons;
+  bool m_Failed = false;
+
+  void addTo(CLI::App &App) {
+    CLI::App &Command = *App.add_subcommand("load", "Callers of one or more daemons");
+    Command.add_option("--daemon", m_Daemons, "Address of a daemon; repeat for several")->required();
+    Command.add_option("--key", m_Settings.m_Key, "API key")->required();
+    Command.add_option("--model", m_Settings.m_Model, "Model to ask for")->required();
+    Command.add_option("--task", m_Settings.m_Task, "Task to name");
+    Command.add_option("--rate", m_Settings.m_Rate, "Requests per second")->check(CLI::PositiveNumber);
+    Command.add_option("--concurrency", m_Settings.m_Concurrency, "Requests at once");
+    Command.add_option("--requests", m_Settings.m_Requests, "Requests to send");
+    addSeconds(Command, "--seconds", m_Settings.m_Time, "Time in which requests are started");
+    addSeconds(Command, "--timeout", m_Settings.m_Timeout, "Timeout of each request, in seconds");
+    Command.add_option("--streamed", m_Settings.m_StreamedShare, "Share of streamed chat completions");
+    Command.add_option("--services", m_Settings.m_ServiceShare, "Share of service calls");
+    Command.add_option("--service", m_Settings.m_Service, "Service to call");
+    Command.add_option("--service-kind", m_Settings.m_ServiceKind, "Routes that the service has")
+        ->check(CLI::IsMember({"payments", "orders"}));
+    Command.add_option("--max-tokens", m_Settings.m_MaxTokens, "Limit of each answer");
+    Command.callback([this] { run(); });
+  }
+
+  void run() {
+    for (const std::string &Text : m_Daemons)
+      m_Settings.m_Daemons.push_back(parseAddress("--daemon", Text));
+    m_Settings.m_RunId = std::to_string(unixMilliseconds());
+    asio::io_context Context;
+    const LoadReport Report = runLoad(Context, m_Settings);
+    std::cout << Report.toJson().dump(2) << std::endl;
+    m_Failed = !Report.m_Wrong.empty();
+  }
+};
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -219,9 +264,11 @@
   PlatformCommand Platform;
   EngineCommand Engine;
   ServiceCommand Service;
+  LoadCommand Load;
   Platform.addTo(App);
   Engine.addTo(App);
   Service.addTo(App);
+  Load.addTo(App);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &Caught) {
@@ -230,5 +277,5 @@
     std::cerr << "bulrushpitch-standin: " << Caught.what() << std::endl;
     return EXIT_FAILURE;
   }
-  return EXIT_SUCCESS;
+  return Load.m_Failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
