--- a/packages/protocol/include/bulrushpitch/protocol/membership.h
+++ b/packages/protocol/include/bulrushpitch/protocol/membership.h
@@ -57,8 +57,8 @@
 struct Member {
   MemberUpdate m_Update;
   bool m_Listed = false;
-  bool m_Ready = false;
-  TimePoint m_HeardAt; ///< Last direct message.
+  bool m_Ready = false; ///< Its startup gate was open when it was last heard directly.
+  TimePoint m_HeardAt;  ///< Last direct message.
 };
 
 /// @brief Action: send m_Digest to m_To and report the reply with replied() or its absence with tick().
@@ -122,6 +122,9 @@
   void setReady(bool Ready) { m_Ready = Ready; }
   /// @brief Takes a successful read of the head row.
   void headRead(TimePoint Now);
+  /// @brief Exchanges with members that were not heard as ready, at most 40 of them. A starting instance
+  /// calls this each second: condition (ii) of its startup gate needs every listed instance.
+  MembershipActions askUnheard(TimePoint Now);
   /// @brief Tells 3 random peers that this instance leaves.
   MembershipActions leave(TimePoint Now);
 
--- a/packages/protocol/src/membership.cpp
+++ b/packages/protocol/src/membership.cpp
@@ -16,6 +16,8 @@
 /// Places in a digest that go to recent changes; the others go to random members, so that old news spreads
 /// too.
 constexpr std::size_t RecentPlaces = 6;
+/// Keeps the burst of a starting instance small; 400 instances are asked within 10 s.
+constexpr std::size_t AskAtOnce = 40;
 
 bool isNewer(const MemberUpdate &Update, const MemberUpdate &Known) {
   return std::tie(Update.m_Incarnation, Update.m_Beat, Update.m_State) >
@@ -226,6 +228,16 @@
 
 void Membership::headRead(TimePoint Now) { m_HeadRead = Now; }
 
+MembershipActions Membership::askUnheard(TimePoint Now) {
+  std::vector<InstanceId> To;
+  for (const InstanceId &Peer : randomPeers(m_Members.size()))
+    if (!m_Members.at(Peer).m_Ready && To.size() < AskAtOnce)
+      To.push_back(Peer);
+  MembershipActions Actions;
+  push(Now, To, Actions);
+  return Actions;
+}
+
 MembershipActions Membership::leave(TimePoint Now) {
   m_Leaving = true;
   MembershipActions Actions;
--- /dev/null
+++ b/packages/protocol/tests/permit_property_test.cpp
@@ -0,0 +1,28 @@
+#include "permit_world.h"
+#include "plans.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace bulrushpitch;
+using namespace bulrushpitch::test;
+
+TEST_CASE("guarantee 5: a cold upstream never gets more than its limit") {
+  CHECK(rc::check("cold limit", [] {
+    const Plan Drawn =
+        drawPlan({FaultKind::StoreDown, FaultKind::StoreSlow, FaultKind::AnswerLost, FaultKind::LateEffect,
+                  FaultKind::MessageLoss, FaultKind::MessageRepeat, FaultKind::Kill, FaultKind::Freeze,
+                  FaultKind::Freeze, FaultKind::CutDomain, FaultKind::Cold});
+    const PermitReport Report = PermitWorld(Drawn).run();
+    RC_LOG() << "overshoot " << Report.m_Overshoot << ", double owners " << Report.m_DoubleOwners
+             << ", started " << Report.m_Started << "\n";
+    RC_ASSERT(Report.m_Overshoot <= 0);
+    RC_ASSERT(Report.m_DoubleOwners == 0);
+    RC_ASSERT(Report.m_EarlyOrders == 0U);
+  }));
+}
+
+TEST_CASE("permits are granted when nothing fails, so that the property above is not empty") {
+  const PermitReport Report = PermitWorld(Plan{1, {}}).run();
+  CHECK(Report.m_Started > 10);
+}
--- /dev/null
+++ b/packages/protocol/tests/simulation.h
@@ -0,0 +1,260 @@
+#ifndef BULRUSHPITCH_PROTOCOL_TESTS_SIMULATION_H
+#define BULRUSHPITCH_PROTOCOL_TESTS_SIMULATION_H
+
+#include "bulrushpitch/protocol/table.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <ostream>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bulrushpitch::test {
+
+/// @brief Whether the environment switches this mechanism off, so that the test of its guarantee must go red.
+inline bool mutation(const std::string &Name) {
+  const char *Chosen = std::getenv("BULRUSHPITCH_MUTATION");
+  return Chosen != nullptr && Name == Chosen;
+}
+
+inline Duration ms(std::int64_t Count) { return std::chrono::milliseconds(Count); }
+
+enum class FaultKind : std::uint8_t {
+  StoreDown,
+  StoreSlow,
+  AnswerLost, ///< Writes take effect, but half of the answers do not arrive.
+  LateEffect, ///< Writes take effect up to 3 s after their answer was given up.
+  MessageLoss,
+  MessageRepeat, ///< Messages are delivered twice and out of order.
+  Kill,          ///< The instance is restarted empty when the fault ends.
+  Freeze,        ///< The instance stands still and goes on when the fault ends.
+  CutDomain,
+  CutRegion, ///< The last domain is cut off from the others and from the store.
+  Cold,      ///< The upstream restarts without warning (permits only).
+};
+inline constexpr int FaultKinds = 11;
+
+struct Fault {
+  FaultKind m_Kind = FaultKind::StoreDown;
+  std::int64_t m_StartMs = 0;
+  std::int64_t m_LengthMs = 0;
+  std::size_t m_Target = 0;
+};
+
+inline std::ostream &operator<<(std::ostream &Out, const Fault &Value) {
+  return Out << "{kind " << static_cast<int>(Value.m_Kind) << ", at " << Value.m_StartMs << " ms for "
+             << Value.m_LengthMs << " ms, target " << Value.m_Target << "}";
+}
+
+/// @brief What a property draws: everything else follows from the seed.
+struct Plan {
+  std::uint32_t m_Seed = 0;
+  std::vector<Fault> m_Faults;
+};
+
+/// @brief Logical time, instances that live, freeze and die, messages and a table service, all in one thread.
+class Simulation {
+public:
+  Simulation(const Plan &Planned, std::size_t Instances)
+      : m_Plan(Planned), m_Random(Planned.m_Seed), m_Generation(Instances, 1) {}
+
+  TimePoint now() const { return m_Now; }
+  std::uint64_t below(std::uint64_t Limit) { return m_Random() % Limit; }
+  bool chance(double Share) { return static_cast<double>(below(1'000'000)) < Share * 1e6; }
+  Duration between(std::int64_t FromMs, std::int64_t ToMs) {
+    return std::chrono::microseconds(FromMs * 1'000 +
+                                     static_cast<std::int64_t>(below(static_cast<std::uint64_t>(
+                                         std::max<std::int64_t>(1, (ToMs - FromMs) * 1'000)))));
+  }
+
+  void at(TimePoint When, std::function<void()> Event) {
+    m_Events.push({When, m_Sequence++, std::move(Event)});
+  }
+  void after(Duration Delay, std::function<void()> Event) { at(m_Now + Delay, std::move(Event)); }
+  void runUntil(TimePoint End) {
+    while (!m_Events.empty() && m_Events.top().m_When <= End) {
+      Scheduled Next = m_Events.top();
+      m_Events.pop();
+      m_Now = std::max(m_Now, Next.m_When);
+      ++m_Steps;
+      Next.m_Run();
+    }
+    m_Now = End;
+  }
+  std::uint64_t steps() const { return m_Steps; }
+
+  bool active(FaultKind Kind, std::size_t Target = 0, bool AnyTarget = true) const {
+    return std::any_of(m_Plan.m_Faults.begin(), m_Plan.m_Faults.end(), [&](const Fault &One) {
+      return One.m_Kind == Kind && (AnyTarget || One.m_Target % m_Generation.size() == Target) &&
+             m_Now >= TimePoint(ms(One.m_StartMs)) && m_Now < TimePoint(ms(One.m_StartMs + One.m_LengthMs));
+    });
+  }
+  bool alive(std::size_t Instance) const { return !active(FaultKind::Kill, Instance, false); }
+  bool frozen(std::size_t Instance) const { return active(FaultKind::Freeze, Instance, false); }
+  /// Rises with each restart; events for an earlier process are dropped.
+  std::uint64_t generation(std::size_t Instance) const { return m_Generation[Instance]; }
+  void restarted(std::size_t Instance) { ++m_Generation[Instance]; }
+  /// When the last fault ends.
+  TimePoint quiet() const {
+    TimePoint Last;
+    for (const Fault &One : m_Plan.m_Faults)
+      Last = std::max(Last, TimePoint(ms(One.m_StartMs + One.m_LengthMs)));
+    return Last;
+  }
+  const Plan &plan() const { return m_Plan; }
+
+  /// Three domains; the last is a region of its own.
+  static std::size_t domainOf(std::size_t Instance) { return Instance % 3; }
+  bool connected(std::size_t Left, std::size_t Right) const {
+    if (domainOf(Left) == domainOf(Right))
+      return true;
+    if (active(FaultKind::CutRegion) && (domainOf(Left) == 2 || domainOf(Right) == 2))
+      return false;
+    return !std::any_of(m_Plan.m_Faults.begin(), m_Plan.m_Faults.end(), [&](const Fault &One) {
+      return One.m_Kind == FaultKind::CutDomain &&
+             active(FaultKind::CutDomain, One.m_Target % m_Generation.size(), false) &&
+             (domainOf(One.m_Target) == domainOf(Left) || domainOf(One.m_Target) == domainOf(Right));
+    });
+  }
+  bool reachesStore(std::size_t Instance) const {
+    return !active(FaultKind::StoreDown) && (domainOf(Instance) != 2 || !active(FaultKind::CutRegion));
+  }
+
+  /// Runs an event at an instance: dropped if its process is gone, put off while it is frozen.
+  void deliver(std::size_t To, std::uint64_t Generation, std::function<void()> Event) {
+    if (!alive(To) || m_Generation[To] != Generation)
+      return;
+    if (frozen(To))
+      after(ms(50), [this, To, Generation, Event = std::move(Event)] { deliver(To, Generation, Event); });
+    else
+      Event();
+  }
+  /// Sends a message; @p Event runs at the receiver, whatever process is there by then.
+  void send(std::size_t From, std::size_t To, const std::function<void()> &Event) {
+    const int Copies = active(FaultKind::MessageRepeat) && chance(0.5) ? 2 : 1;
+    for (int Copy = 0; Copy < Copies; ++Copy) {
+      if (active(FaultKind::MessageLoss) && chance(0.4))
+        continue;
+      const Duration Delay = active(FaultKind::MessageRepeat) ? between(1, 900) : between(1, 35);
+      after(Delay, [this, From, To, Event] {
+        if (connected(From, To) && alive(To))
+          deliver(To, m_Generation[To], Event);
+      });
+    }
+  }
+  /// Calls @p Event each @p Period at an instance while this process lives.
+  void every(std::size_t Instance, Duration Period, std::function<void()> Event) {
+    const std::uint64_t Generation = m_Generation[Instance];
+    after(Period, [this, Instance, Period, Generation, Event = std::move(Event)] {
+      if (m_Generation[Instance] != Generation)
+        return;
+      if (alive(Instance) && !frozen(Instance))
+        Event();
+      every(Instance, Period, Event);
+    });
+  }
+
+  using Committed = std::function<void(const CommitResult &)>;
+  using Read = std::function<void(const ReadResult &)>;
+  void commit(std::size_t From, const std::vector<TableWrite> &Writes, const Committed &Answer) {
+    const std::uint64_t Generation = m_Generation[From];
+    const std::function<void(CommitResult)> Tell = [this, From, Generation,
+                                                    Answer](const CommitResult &Result) {
+      deliver(From, Generation, [Answer, Result] { Answer(Result); });
+    };
+    if (!reachesStore(From)) {
+      const Ran Known = chance(0.5) ? Ran::No : Ran::Unknown;
+      after(Known == Ran::No ? ms(5) : Timeout, [Tell, Known] { Tell(storeError(Known)); });
+      return;
+    }
+    const bool Late = active(FaultKind::LateEffect) && chance(0.5);
+    const Duration Delay = Late ? between(1'000, 4'000) : storeDelay();
+    const bool Lost = Delay > Timeout || (active(FaultKind::AnswerLost) && chance(0.5));
+    after(Delay, [this, Writes, Tell, Lost] {
+      if (active(FaultKind::StoreDown)) {
+        if (!Lost)
+          after(Timeout, [Tell] { Tell(storeError(Ran::Unknown)); });
+        return;
+      }
+      const TableOutcome Outcome = apply(Writes);
+      if (!Lost)
+        after(storeDelay() / 2, [Tell, Outcome] { Tell(Outcome); });
+    });
+    if (Lost)
+      after(Timeout, [Tell] { Tell(storeError(Ran::Unknown)); });
+  }
+  void read(std::size_t From, const std::string &Key, const Read &Answer) {
+    const std::uint64_t Generation = m_Generation[From];
+    const bool Fails = !reachesStore(From) || (active(FaultKind::AnswerLost) && chance(0.2));
+    after(Fails ? Timeout : storeDelay(), [this, From, Key, Generation, Answer, Fails] {
+      if (Fails) {
+        deliver(From, Generation, [Answer] { Answer(storeError(Ran::No)); });
+        return;
+      }
+      const std::optional<TableRow> Row =
+          m_Rows.count(Key) == 0 ? std::nullopt : std::optional(m_Rows.at(Key));
+      after(between(0, 10), [this, From, Generation, Answer, Row] {
+        deliver(From, Generation, [Answer, Row] { Answer(Row); });
+      });
+    });
+  }
+  TableOutcome apply(const std::vector<TableWrite> &Writes) {
+    TableOutcome Outcome;
+    Outcome.m_Committed = std::all_of(Writes.begin(), Writes.end(), [&](const TableWrite &Write) {
+      const std::uint64_t Version = m_Rows.count(Write.m_Key) == 0 ? 0 : m_Rows.at(Write.m_Key).m_RowVersion;
+      return !(Write.m_Condition == TableCondition::Absent && Version != 0) &&
+             !(Write.m_Condition == TableCondition::Version && Version != Write.m_ExpectedVersion);
+    });
+    for (const TableWrite &Write : Writes) {
+      const bool Set = m_Rows.count(Write.m_Key) != 0;
+      const bool Takes = Outcome.m_Committed && !(Write.m_Condition == TableCondition::SkipIfSet && Set);
+      if (Takes) {
+        TableRow &Row = m_Rows[Write.m_Key];
+        Row = TableRow{Write.m_Key, Write.m_Value, ++m_Version};
+        if (m_OnWrite)
+          m_OnWrite(Row);
+      }
+      Outcome.m_Rows.push_back(m_Rows.count(Write.m_Key) == 0 ? TableRow{} : m_Rows.at(Write.m_Key));
+      Outcome.m_Written.push_back(Takes);
+    }
+    return Outcome;
+  }
+  const std::map<std::string, TableRow> &rows() const { return m_Rows; }
+  /// Called for each row that is written.
+  std::function<void(const TableRow &)> m_OnWrite;
+  Duration storeDelay() { return active(FaultKind::StoreSlow) ? between(200, 1'800) : between(1, 20); }
+
+private:
+  static inline const Duration Timeout = ms(1'000);
+  static Error storeError(Ran Known) {
+    return Error{ErrorCode::PlatformTimeout, "store", "table service", Known, "simulated"};
+  }
+  struct Scheduled {
+    TimePoint m_When;
+    std::uint64_t m_Order;
+    std::function<void()> m_Run;
+    bool operator<(const Scheduled &Other) const {
+      return m_When != Other.m_When ? m_When > Other.m_When : m_Order > Other.m_Order;
+    }
+  };
+  Plan m_Plan;
+  std::mt19937_64 m_Random;
+  TimePoint m_Now;
+  std::uint64_t m_Sequence = 0;
+  std::uint64_t m_Steps = 0;
+  std::priority_queue<Scheduled> m_Events;
+  std::vector<std::uint64_t> m_Generation;
+  std::map<std::string, TableRow> m_Rows;
+  std::uint64_t m_Version = 0;
+};
+
+template <typename... Functions> struct Overloaded : Functions... { using Functions::operator()...; };
+template <typename... Functions> Overloaded(Functions...) -> Overloaded<Functions...>;
+
+} // namespace bulrushpitch::test
+
+#endif // BULRUSHPITCH_PROTOCOL_TESTS_SIMULATION_H
