--- a/packages/protocol/tests/simulation.h
+++ b/packages/protocol/tests/simulation.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHPITCH_PROTOCOL_TESTS_SIMULATION_H
 #define BULRUSHPITCH_PROTOCOL_TESTS_SIMULATION_H
 
+#include "bulrushpitch/core/clock.h"
 #include "bulrushpitch/protocol/table.h"
 
 #include <algorithm>
