decision: a measuring program; cascades judged by the joint error of their steps

Nothing showed how the policy compares with simpler ones.

A cascade's lower bound took all steps at their lower bounds at once, so a dear version was used where a cascade reaches the target; the steps' errors now add up as squares. And a cascade was never explored, though its answers are rated before they are released; it now is. The router also says which cascade step comes next (RouteDecision::m_NextCascadeStep), as counting up by one repeats a step after one that the team may not use.

--- /dev/null
+++ b/packages/decision/bench/main.cpp
@@ -0,0 +1,31 @@
+#include "bench.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+/// Usage: bulrushpitch_decision_bench decision | policy [--tune] [SEED...]
+int main(int Count, char **Words) {
+  const std::vector<std::string> Arguments(Words + 1, Words + Count);
+  if (!Arguments.empty() && Arguments[0] == "decision") {
+    bulrushpitch::bench::runDecision();
+    return 0;
+  }
+  if (!Arguments.empty() && Arguments[0] == "policy") {
+    bool Tune = false;
+    std::vector<std::uint64_t> Seeds;
+    for (std::size_t At = 1; At < Arguments.size(); ++At)
+      if (Arguments[At] == "--tune")
+        Tune = true;
+      else
+        Seeds.push_back(std::strtoull(Arguments[At].c_str(), nullptr, 10));
+    // Seeds below 100 are for tuning, those from 100 on for figures that are reported.
+    if (Seeds.empty())
+      Seeds = Tune ? std::vector<std::uint64_t>{1} : std::vector<std::uint64_t>{101, 102, 103};
+    bulrushpitch::bench::runPolicy(Seeds, Tune);
+    return 0;
+  }
+  std::fprintf(stderr, "usage: bulrushpitch_decision_bench decision | policy [--tune] [SEED...]\n");
+  return 2;
+}
--- a/packages/decision/include/bulrushpitch/decision/route.h
+++ b/packages/decision/include/bulrushpitch/decision/route.h
@@ -67,6 +67,9 @@
   bool m_StreamBeforeRating = true; ///< False: hold the answer until it is rated.
   bool m_RateBeforeRelease = false; ///< The answer is a cascade step that may be escalated.
   double m_AcceptAt = 0.0;          ///< Rating at which a held answer is kept.
+  /// RouteRequest::m_CascadeStep of the next decision, if the answer is rejected. Steps that the team may not
+  /// use are passed over, so it can rise by more than one.
+  std::uint32_t m_NextCascadeStep = 0;
   double m_PredictedQuality = 0.0;
   Duration m_ExpectedWait{}; ///< Until the first token.
   RouteReason m_Why;
--- a/packages/decision/include/bulrushpitch/decision/router.h
+++ b/packages/decision/include/bulrushpitch/decision/router.h
@@ -26,10 +26,12 @@
   Duration m_UsualGap = std::chrono::milliseconds(20); ///< Between tokens, for engines without reports.
   Duration m_RegionCost =
       std::chrono::milliseconds(120); ///< Wait that a request in the own region accepts first.
-  double m_BytesPerToken = 24.0;      ///< On the link between regions, with framing.
-  std::uint64_t m_LongReport = 800;   ///< Expected tokens from which an answer is a long report on the link.
-  std::uint32_t m_Sample = 12;        ///< Upstreams compared per version, beside those that hold the prefix.
-  double m_NearEqual = 0.05;          ///< Scores within this share of the best count as equal.
+  double m_SpillAt =
+      0.75; ///< Utilisation of the own region's best upstream from which the other one is compared.
+  double m_BytesPerToken = 24.0;    ///< On the link between regions, with framing.
+  std::uint64_t m_LongReport = 800; ///< Expected tokens from which an answer is a long report on the link.
+  std::uint32_t m_Sample = 12;      ///< Upstreams compared per version, beside those that hold the prefix.
+  double m_NearEqual = 0.05;        ///< Scores within this share of the best count as equal.
 };
 
 /// @brief A call of a plain service.
@@ -138,6 +140,7 @@
     double m_Upper = 0.0;
     double m_AcceptAt = 0.0;
     bool m_LastStep = true;
+    std::uint32_t m_NextStep = 0;
     bool m_StreamBeforeRating = false;
   };
   struct Scored {
@@ -145,6 +148,17 @@
     double m_Score = 0.0; ///< Seconds.
     double m_Wait = 0.0;  ///< Seconds until the first token.
     double m_CachedShare = 0.0;
+    double m_Utilisation = 0.0; ///< With the request.
+  };
+  /// What is known of a cascade's step.
+  struct StepEstimate {
+    QualityEstimate m_Quality;
+    double m_Price = 0.0;
+    double m_AcceptAt = 0.0;
+  };
+  struct CascadeValue {
+    double m_Cost = 0.0;
+    double m_Quality = 0.0;
   };
   struct Holder {
     Index m_Upstream = 0;
@@ -162,6 +176,7 @@
   Expected<Done> gatherPinned(const CompiledTeam &Team, Index Model, const RouteRequest &Request,
                               double Target);
   void gatherCascade(const CompiledTeam &Team, const CompiledModel &Model, const RouteRequest &Request);
+  CascadeValue cascadeValue(std::size_t Lowered) const;
   Candidate direct(Index Version, const RouteRequest &Request, double Target) const;
   bool offered(const CompiledTeam &Team, const CompiledModel &Model, Index Version) const;
   static bool alreadyRejected(const CompiledModel &Model, Index Version, const RouteRequest &Request);
@@ -211,6 +226,7 @@
   std::int32_t m_QualityTask = -1;
   std::size_t m_Usable = 0; ///< Candidates at the front that the request may use.
   std::vector<Candidate> m_Candidates;
+  std::vector<StepEstimate> m_Steps;
   std::vector<Scored> m_Scored;
   std::vector<Holder> m_Holders;
 };
--- a/packages/decision/src/router.cpp
+++ b/packages/decision/src/router.cpp
@@ -203,43 +203,59 @@
   return Choice;
 }
 
+/// Evaluates the steps that m_Steps holds.
+/// @param Lowered step whose quality is taken at its lower bound; the number of steps for none
+Router::CascadeValue Router::cascadeValue(std::size_t Lowered) const {
+  CascadeValue Value;
+  double Reach = 1.0;
+  for (std::size_t At = 0; At < m_Steps.size(); ++At) {
+    const StepEstimate &Step = m_Steps[At];
+    const double Mean =
+        At == Lowered ? Step.m_Quality.lowerBound(m_Settings.m_Confidence) : Step.m_Quality.m_Mean;
+    // The last step is kept whatever its rating.
+    const StepOutcome Outcome = At + 1 == m_Steps.size()
+                                    ? StepOutcome{1.0, Mean}
+                                    : outcomeOf(Mean, Step.m_Quality.m_Spread, Step.m_AcceptAt);
+    Value.m_Cost += Reach * Step.m_Price;
+    Value.m_Quality += Reach * Outcome.m_Quality;
+    Reach *= 1.0 - Outcome.m_Kept;
+  }
+  return Value;
+}
+
 void Router::gatherCascade(const CompiledTeam &Team, const CompiledModel &Model,
                            const RouteRequest &Request) {
-  Candidate Choice;
-  Choice.m_Rule = RouteRule::Cascade;
-  double Reach = 1.0;
-  double LowerReach = 1.0;
   std::size_t First = Model.m_Cascade.size();
-  std::size_t Last = 0;
-  for (std::size_t At = Request.m_CascadeStep; At < Model.m_Cascade.size(); ++At)
-    if (offered(Team, Model, Model.m_Cascade[At].m_Version)) {
-      First = std::min(First, At);
-      Last = At;
-    }
-  // A single step is the version used directly.
-  if (First >= Last)
-    return;
-  for (std::size_t At = First; At <= Last; ++At) {
+  m_Steps.clear();
+  for (std::size_t At = Request.m_CascadeStep; At < Model.m_Cascade.size(); ++At) {
     const CompiledStep &Step = Model.m_Cascade[At];
     if (!offered(Team, Model, Step.m_Version))
       continue;
-    const QualityEstimate Quality =
-        m_Quality.estimateAt(m_QualityRow, m_QualityTask, m_Versions[Step.m_Version].m_Quality);
-    // The last step is kept whatever its rating.
-    const double AcceptAt = At == Last ? -1e3 : Step.m_AcceptAt;
-    const StepOutcome Usual = outcomeOf(Quality.m_Mean, Quality.m_Spread, AcceptAt);
-    const StepOutcome Low =
-        outcomeOf(Quality.lowerBound(m_Settings.m_Confidence), Quality.m_Spread, AcceptAt);
-    Choice.m_Cost += Reach * price(m_Versions[Step.m_Version], Request);
-    Choice.m_Mean += Reach * Usual.m_Quality;
-    Choice.m_Lower += LowerReach * Low.m_Quality;
-    Reach *= 1.0 - Usual.m_Kept;
-    LowerReach *= 1.0 - Low.m_Kept;
+    First = std::min(First, At);
+    const CompiledVersion &Version = m_Versions[Step.m_Version];
+    m_Steps.push_back({m_Quality.estimateAt(m_QualityRow, m_QualityTask, Version.m_Quality),
+                       price(Version, Request), Step.m_AcceptAt});
+  }
+  // A single step is the version used directly.
+  if (m_Steps.size() < 2)
+    return;
+  const CascadeValue Usual = cascadeValue(m_Steps.size());
+  // The errors of the steps' estimates are independent, so their effects add up as squares.
+  double Variance = 0.0;
+  for (std::size_t At = 0; At < m_Steps.size(); ++At) {
+    const double Effect = Usual.m_Quality - cascadeValue(At).m_Quality;
+    Variance += Effect * Effect;
   }
-  Choice.m_Upper = 2.0 * Choice.m_Mean - Choice.m_Lower;
+  Candidate Choice;
+  Choice.m_Rule = RouteRule::Cascade;
+  Choice.m_Cost = Usual.m_Cost;
+  Choice.m_Mean = Usual.m_Quality;
+  Choice.m_Lower = Usual.m_Quality - std::sqrt(Variance);
+  Choice.m_Upper = Usual.m_Quality + std::sqrt(Variance);
   Choice.m_Version = Model.m_Cascade[First].m_Version;
   Choice.m_AcceptAt = Model.m_Cascade[First].m_AcceptAt;
   Choice.m_LastStep = false;
+  Choice.m_NextStep = static_cast<std::uint32_t>(First + 1);
   m_Candidates.push_back(Choice);
 }
 
@@ -333,8 +349,8 @@
   }
 }
 
-/// With the exploration share, puts a cheaper version that may reach the target first. Sessions are left out,
-/// because they would stay on the version.
+/// With the exploration share, puts a cheaper candidate that may reach the target first. Sessions are left
+/// out, because they would stay on the version.
 void Router::explore(const RouteRequest &Request, double Target) {
   if (Request.m_Session || Request.m_CascadeStep > 0 || m_ExplorationShare <= 0.0)
     return;
@@ -374,6 +390,7 @@
     Moved.m_Rule = m_Candidates[Chosen].m_Rule;
     Moved.m_LastStep = m_Candidates[Chosen].m_LastStep;
     Moved.m_AcceptAt = m_Candidates[Chosen].m_AcceptAt;
+    Moved.m_NextStep = m_Candidates[Chosen].m_NextStep;
     m_Candidates.insert(m_Candidates.begin() + static_cast<std::ptrdiff_t>(Chosen), Moved);
     ++m_Usable;
   }
@@ -441,7 +458,7 @@
     return Obstacle::Deadline;
   // Reports lag, so a nearly full upstream may be full by now. The cube leaves lightly loaded ones equal.
   const double Pressure = PressureSeconds * Utilisation * Utilisation * Utilisation;
-  m_Scored.push_back({Upstream, Whole + Pressure, Wait, Cached});
+  m_Scored.push_back({Upstream, Whole + Pressure, Wait, Cached, Utilisation});
   return Obstacle::None;
 }
 
@@ -470,12 +487,15 @@
     if (Each.m_Upstream < m_Near.size() && m_Near[Each.m_Upstream] && Version.m_Serves[Each.m_Upstream])
       score(Each.m_Upstream, Request, Now);
   Obstacle Worst = sample(Version.m_NearHosts, Request, Now);
-  // The link is paid for by volume: the other region is looked at only when this one cannot take the request.
-  if (m_Scored.empty()) {
-    if (!m_Link.allows(trafficOf(Request), linkBytes(Request), Now))
-      Worst = std::max(Worst, Version.m_FarHosts.empty() ? Worst : Obstacle::Link);
-    else
+  // The link is paid for by volume: the other region is looked at only when this one is nearly full.
+  double Least = std::numeric_limits<double>::infinity();
+  for (const Scored &Each : m_Scored)
+    Least = std::min(Least, Each.m_Utilisation);
+  if (Least >= m_Settings.m_SpillAt && !Version.m_FarHosts.empty()) {
+    if (m_Link.allows(trafficOf(Request), linkBytes(Request), Now))
       Worst = std::max(Worst, sample(Version.m_FarHosts, Request, Now));
+    else
+      Worst = std::max(Worst, Obstacle::Link);
   }
   if (!m_Scored.empty())
     return Obstacle::None;
@@ -581,6 +601,7 @@
   Into.m_RateBeforeRelease = !Choice.m_LastStep;
   Into.m_StreamBeforeRating = Choice.m_StreamBeforeRating && Choice.m_LastStep;
   Into.m_AcceptAt = Choice.m_AcceptAt;
+  Into.m_NextCascadeStep = Choice.m_NextStep;
   Into.m_PredictedQuality = Choice.m_Mean;
   Into.m_Why.m_Rule = Choice.m_Rule;
   Into.m_Why.m_LowerBound = Choice.m_Lower;
@@ -629,7 +650,7 @@
     const double Wait =
         CallSeconds * (Load + 1.0) / Limit + (m_Near[At] ? 0.0 : secondsOf(m_Settings.m_RegionCost));
     if (Now + durationOf(Wait) <= Request.m_Deadline)
-      m_Scored.push_back({At, Wait, Wait, 0.0});
+      m_Scored.push_back({At, Wait, Wait, 0.0, 0.0});
   }
   if (m_Scored.empty() && AnyOpen)
     return Now >= Request.m_Deadline
