--- a/packages/config/include/bulrushpitch/config/admin_api.h
+++ b/packages/config/include/bulrushpitch/config/admin_api.h
@@ -255,8 +255,8 @@
 std::string encodeError(const Error &Value);
 
 /// @brief Decodes what encodeError() made.
-/// @return the error; error 102 if the text is something else
-Result<Error> decodeError(std::string_view Text);
+/// @return the error; if the text is something else, an error 102 that says so, with `ran: unknown`
+Error decodeError(std::string_view Text);
 
 /// @brief Builds path and query of a GET request; the values are percent-encoded.
 /// @param Path one of admin_path
--- a/packages/config/src/admin_api.cpp
+++ b/packages/config/src/admin_api.cpp
@@ -1,5 +1,6 @@
 #include "bulrushpitch/config/admin_api.h"
 
+#include "bulrushpitch/core/expected.h"
 #include "detail/describe_objects.h"
 
 #include <cctype>
@@ -371,9 +372,14 @@
   return detail::dump(detail::Codec<detail::ErrorBody>::encode({Value}));
 }
 
-Result<Error> decodeError(std::string_view Text) {
-  BOOST_LEAF_AUTO(Body, detail::decodeAny<detail::ErrorBody>(Text));
-  return Body.m_Error;
+Error decodeError(std::string_view Text) {
+  const Expected<detail::ErrorBody> Body =
+      capture([&] { return detail::decodeAny<detail::ErrorBody>(Text); });
+  if (Body)
+    return Body->m_Error;
+  Error Failure = Body.error();
+  Failure.m_Ran = Ran::Unknown;
+  return Failure;
 }
 
 std::vector<FieldInfo> messageFields(const std::string &Message) {
--- a/packages/config/src/codec.cpp
+++ b/packages/config/src/codec.cpp
@@ -63,12 +63,16 @@
     "hexadecimal text", "must be an even number of lower-case hexadecimal digits, at least 32",
     [](std::string_view Text) { return Text.size() >= 32 && Text.size() % 2 == 0 && isLowerHex(Text); }};
 
-std::string rangeText(const FieldSpec &Spec) {
+std::string rangeText(const FieldSpec &Spec, bool IsDuration) {
+  const auto Text = [IsDuration](double Limit) {
+    return IsDuration ? durationText(std::chrono::milliseconds(static_cast<std::int64_t>(Limit)))
+                      : numberText(Limit);
+  };
   if (Spec.m_Min == -Unlimited)
     return "";
   if (Spec.m_Max == Unlimited)
-    return "at least " + numberText(Spec.m_Min);
-  return numberText(Spec.m_Min) + " to " + numberText(Spec.m_Max);
+    return "at least " + Text(Spec.m_Min);
+  return Text(Spec.m_Min) + " to " + Text(Spec.m_Max);
 }
 
 void FaultSink::add(ErrorCode Code, std::string Message, std::string Hint) {
@@ -175,7 +179,7 @@
   if (static_cast<double>(Read->count()) >= Spec.m_Min && static_cast<double>(Read->count()) <= Spec.m_Max)
     Out = *Read;
   else
-    Sink.add(ErrorCode::BadFieldValue, "must be " + rangeText(Spec) + " ms");
+    Sink.add(ErrorCode::BadFieldValue, "must be " + rangeText(Spec, true));
 }
 
 void decodeAddress(const Json &In, SocketAddress &Out, FaultSink &Sink) {
--- a/packages/config/src/detail/codec.h
+++ b/packages/config/src/detail/codec.h
@@ -6,7 +6,7 @@
 
 #include "bulrushpitch/config/fault.h"
 #include "bulrushpitch/config/settings.h"
-#include "bulrushpitch/core/strong.h"
+#include "bulrushpitch/core/ids.h"
 
 #include <array>
 #include <chrono>
@@ -63,8 +63,9 @@
   return Spec;
 }
 
+/// @param IsDuration whether the limits are milliseconds
 /// @return for example "0 to 1", or nothing if all values are allowed
-std::string rangeText(const FieldSpec &Spec);
+std::string rangeText(const FieldSpec &Spec, bool IsDuration = false);
 
 /// @brief Collects faults under the path of the field being read.
 class FaultSink {
@@ -172,6 +173,14 @@
   static std::string typeName(const FieldSpec &Spec) { return Spec.m_Rule ? Spec.m_Rule->m_Type : "text"; }
 };
 
+/// @brief What field tables call a text that names an object.
+template <typename Tag> struct ReferenceType { static constexpr const char *Text = nullptr; };
+template <> struct ReferenceType<ModelTag> { static constexpr const char *Text = "model name"; };
+template <> struct ReferenceType<VersionTag> { static constexpr const char *Text = "version name"; };
+template <> struct ReferenceType<CascadeTag> { static constexpr const char *Text = "cascade name"; };
+template <> struct ReferenceType<ServiceTag> { static constexpr const char *Text = "service name"; };
+template <> struct ReferenceType<DomainTag> { static constexpr const char *Text = "failure domain name"; };
+
 template <typename Tag, typename Rep> struct Codec<Strong<Tag, Rep>> {
   static Json encode(const Strong<Tag, Rep> &Value) { return Codec<Rep>::encode(Value.value()); }
   static void decode(const Json &In, Strong<Tag, Rep> &Out, const FieldSpec &Spec, FaultSink &Sink) {
@@ -179,7 +188,11 @@
     Codec<Rep>::decode(In, Value, Spec, Sink);
     Out = Strong<Tag, Rep>(std::move(Value));
   }
-  static std::string typeName(const FieldSpec &Spec) { return Codec<Rep>::typeName(Spec); }
+  static std::string typeName(const FieldSpec &Spec) {
+    if (!Spec.m_Rule && ReferenceType<Tag>::Text)
+      return ReferenceType<Tag>::Text;
+    return Codec<Rep>::typeName(Spec);
+  }
 };
 
 template <> struct Codec<std::chrono::milliseconds> {
@@ -339,7 +352,8 @@
     using Inner = typename Nested<T>::Type;
     const Json Default = Codec<T>::encode(Member);
     const bool HasDefault = !Spec.m_Required && !Described<Inner>;
-    m_Out.push_back({m_Prefix + Spec.m_Name, Codec<T>::typeName(Spec), rangeText(Spec),
+    m_Out.push_back({m_Prefix + Spec.m_Name, Codec<T>::typeName(Spec),
+                     rangeText(Spec, Codec<T>::typeName(Spec) == "duration"),
                      HasDefault ? defaultText(Default) : std::string(), Spec.m_Required});
     if constexpr (Described<Inner>) {
       Lister Visit{m_Out, m_Prefix + Spec.m_Name + Nested<T>::Suffix};
--- a/packages/config/src/yaml_tree.cpp
+++ b/packages/config/src/yaml_tree.cpp
@@ -34,6 +34,11 @@
   TreeBuilder(YamlOutcome &Out, const std::string &File) : m_Out(Out), m_File(File) {}
 
   void OnDocumentStart(const YAML::Mark &Position) override {
+    // At a token that no document can start with, such as a lone comma, yaml-cpp reports empty documents for
+    // ever without reading on.
+    if (Position.pos == m_LastStart)
+      throw YAML::ParserException(Position, "unexpected token");
+    m_LastStart = Position.pos;
     m_Document = YamlDocument();
     m_Document.m_Lines[""] = line(Position);
     m_Open.clear();
@@ -146,6 +151,7 @@
   const std::string &m_File;
   YamlDocument m_Document;
   std::vector<Level> m_Open;
+  int m_LastStart = -1; ///< Position of the latest document.
 };
 
 Fault syntaxFault(const std::string &File, unsigned Line, std::string Message) {
--- a/packages/config/tests/documents_test.cpp
+++ b/packages/config/tests/documents_test.cpp
@@ -156,6 +156,8 @@
     CAPTURE(Text);
     CHECK_FALSE(readDocuments({{"x.yaml", Text}}, nullptr).m_Faults.empty());
   }
+  // yaml-cpp reports empty documents for ever here; the reader once did not end.
+  CHECK_FALSE(readDocuments({{"x.yaml", "--- |\n,x"}}, nullptr).m_Faults.empty());
   CHECK(readDocuments({{"empty.yaml", "# nothing\n"}}, nullptr).m_Faults.empty());
 }
 
