daemon: serve the whole path with real processes

Cause: the packages had no program around them. What it does: eight bulrushpitchd processes share the platform's table service and exchange digests over Cap'n Proto RPC; callers post chat completions (whole or as server-sent events) and service calls to any of them. Found on the way: g++ 12 warns of a mismatched operator delete in Asio's coroutine frames (switched off), and its parser fails on braced JSON within a co_await expression (values are built before).

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -2,7 +2,9 @@
 # tests/*_test.cpp.
 find_package(Threads REQUIRED)
 
-set(BULRUSHPITCH_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Werror)
+# g++ 12 takes the frame allocator of Asio coroutines for a mismatched operator delete when it inlines only one of
+# the two.
+set(BULRUSHPITCH_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Werror $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
 
 function(bulrushpitch_options target)
   target_compile_options(${target} PRIVATE $<$<CXX_COMPILER_ID:GNU>:-fcoroutines> ${BULRUSHPITCH_WARNINGS})
--- /dev/null
+++ b/packages/daemon/include/bulrushpitch/daemon/runtime.h
@@ -0,0 +1,22 @@
+#ifndef BULRUSHPITCH_DAEMON_RUNTIME_H
+#define BULRUSHPITCH_DAEMON_RUNTIME_H
+
+#include "bulrushpitch/config/settings.h"
+#include "bulrushpitch/core/clock.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace bulrushpitch {
+
+/// @brief What every service of the daemon runs on.
+struct Runtime {
+  boost::asio::io_context &m_Context; ///< One thread runs it.
+  const Settings &m_Settings;
+  ClockHook m_Clock;
+  WallClockHook m_WallClock;
+  RandomHook m_Random;
+};
+
+} // namespace bulrushpitch
+
+#endif // BULRUSHPITCH_DAEMON_RUNTIME_H
--- /dev/null
+++ b/packages/daemon/src/billing_service.cpp
@@ -0,0 +1,147 @@
+#include "bulrushpitch/daemon/billing_service.h"
+
+#include <glog/logging.h>
+
+namespace bulrushpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
+} // namespace
+
+BillingService::BillingService(const Runtime &Base, ClusterService &Cluster, PeerClient &Peers,
+                               std::shared_ptr<TableExecutor> Table, Recorder &Events)
+    : m_Runtime(Base), m_Cluster(Cluster), m_Peers(Peers), m_Table(std::move(Table)), m_Events(Events),
+      m_Ledger(CopyHolder{Cluster.self(), Cluster.incarnation()},
+               [this](const std::vector<InstanceId> &Excluded) { return chooseBackup(Excluded); }),
+      m_Tick(
+          Base.m_Context, [] { return TickInterval; },
+          [this] {
+            m_Ledger.storeReachable(m_Cluster.storeSeen());
+            run(m_Ledger.tick(m_Runtime.m_Clock(), m_Cluster.membership().liveCount()));
+          }) {
+  m_Cluster.onMemberGone(
+      [this](const CopyHolder &Gone) { run(m_Ledger.memberGone(m_Runtime.m_Clock(), Gone)); });
+}
+
+Result<void> BillingService::start() {
+  m_Tick.start();
+  return {};
+}
+
+void BillingService::stop() { m_Tick.stop(); }
+
+std::optional<CopyHolder> BillingService::chooseBackup(const std::vector<InstanceId> &Excluded) {
+  const std::optional<InstanceId> Chosen = m_Cluster.membership().chooseBackup(Excluded);
+  if (!Chosen)
+    return std::nullopt;
+  const std::optional<Member> Known = m_Cluster.membership().find(*Chosen);
+  return CopyHolder{*Chosen, Known ? Known->m_Update.m_Incarnation : 0};
+}
+
+asio::awaitable<Expected<Done>> BillingService::charge(Charge Added, Duration Timeout) {
+  const Key Waited{chargeKey(Added.m_Team, Added.m_Request), Added.m_Attempt};
+  const std::shared_ptr<OneShot<Done>> Safe = std::make_shared<OneShot<Done>>(m_Runtime.m_Context);
+  m_Waiting[Waited] = Safe;
+  run(m_Ledger.add(m_Runtime.m_Clock(), Added));
+  const std::optional<Done> Released = co_await Safe->wait(Timeout);
+  m_Waiting.erase(Waited);
+  if (Released)
+    co_return Done{};
+  co_return Error{ErrorCode::ChargeNotKept, "keep charge", "", Ran::Yes,
+                  "neither the table service nor a backup daemon confirmed the charge in time"};
+}
+
+void BillingService::run(ChargeActions Actions) {
+  for (ChargeAction &Action : Actions)
+    std::visit([this](auto &Chosen) { execute(std::move(Chosen)); }, Action);
+}
+
+void BillingService::execute(CommitRows Action) {
+  m_Table->commit(std::move(Action), [this](std::uint64_t Token, const CommitResult &Outcome) {
+    run(m_Ledger.committed(m_Runtime.m_Clock(), Token, Outcome));
+  });
+}
+
+void BillingService::execute(HoldCharges Action) { spawn(m_Runtime.m_Context, sendHold(std::move(Action))); }
+
+void BillingService::execute(DropCharges Action) { spawn(m_Runtime.m_Context, sendDrop(std::move(Action))); }
+
+void BillingService::execute(const ReleaseEnd &Action) {
+  if (const auto Found = m_Waiting.find(Key{Action.m_Key, Action.m_Attempt}); Found != m_Waiting.end())
+    Found->second->set(Done{});
+}
+
+asio::awaitable<void> BillingService::sendHold(HoldCharges Action) {
+  const std::optional<Endpoint> Address = m_Cluster.addressOf(Action.m_To.m_Instance);
+  bool Held = false;
+  if (Address) {
+    PeerCharges Message;
+    Message.m_Owner = m_Cluster.self();
+    Message.m_Incarnation = m_Cluster.incarnation();
+    Message.m_HolderIncarnation = Action.m_To.m_Incarnation;
+    Message.m_Lamport = m_Events.lamport();
+    for (const Charge &Copied : Action.m_Charges) {
+      PeerCharge Entry;
+      Entry.m_Key = chargeKey(Copied.m_Team, Copied.m_Request);
+      Entry.m_Json = encodeCharge(Copied);
+      Message.m_Charges.push_back(std::move(Entry));
+    }
+    Expected<Done> Reply = co_await m_Peers.holdCharges(*Address, std::move(Message));
+    Held = Reply.hasValue();
+    if (!Reply)
+      LOG(WARNING) << "step=hold-charges peer=" << Action.m_To.m_Instance << " error=\"" << Reply.error()
+                   << '"';
+  }
+  run(m_Ledger.heldBy(m_Runtime.m_Clock(), Action.m_Token, Held));
+}
+
+asio::awaitable<void> BillingService::sendDrop(DropCharges Action) {
+  const std::optional<Endpoint> Address = m_Cluster.addressOf(Action.m_To.m_Instance);
+  if (!Address) {
+    m_Ledger.dropAnswered(m_Runtime.m_Clock(), Action.m_Token, false);
+    co_return;
+  }
+  PeerCharges Message;
+  Message.m_Owner = m_Cluster.self();
+  Message.m_Incarnation = m_Cluster.incarnation();
+  Message.m_HolderIncarnation = Action.m_To.m_Incarnation;
+  Message.m_Lamport = m_Events.lamport();
+  for (const std::string &Dropped : Action.m_Keys) {
+    PeerCharge Entry;
+    Entry.m_Key = Dropped;
+    Message.m_Charges.push_back(std::move(Entry));
+  }
+  Expected<Done> Reply = co_await m_Peers.dropCharges(*Address, std::move(Message));
+  m_Ledger.dropAnswered(m_Runtime.m_Clock(), Action.m_Token, Reply.hasValue());
+}
+
+asio::awaitable<Expected<Done>> BillingService::answerHold(PeerCharges Charges) {
+  // An owner that took this daemon for its earlier incarnation must count the copy for the current one.
+  if (Charges.m_HolderIncarnation != 0 && Charges.m_HolderIncarnation != m_Cluster.incarnation())
+    co_return Error{ErrorCode::PeerProtocol, "hold charges", m_Cluster.self().value(), Ran::No,
+                    "the message is for an earlier incarnation of this daemon"};
+  std::vector<Charge> Copies;
+  for (const PeerCharge &Entry : Charges.m_Charges) {
+    Expected<Charge> Copy = decodeCharge(Entry.m_Json);
+    if (!Copy)
+      co_return Copy.error();
+    Copies.push_back(std::move(*Copy));
+  }
+  if (!m_Ledger.hold(m_Runtime.m_Clock(), CopyHolder{Charges.m_Owner, Charges.m_Incarnation}, Copies))
+    co_return Error{ErrorCode::ChargesFull, "hold charges", m_Cluster.self().value(), Ran::No,
+                    "too many copies are held here"};
+  co_return Done{};
+}
+
+asio::awaitable<Expected<Done>> BillingService::answerDrop(PeerCharges Charges) {
+  std::vector<std::string> Keys;
+  Keys.reserve(Charges.m_Charges.size());
+  for (const PeerCharge &Entry : Charges.m_Charges)
+    Keys.push_back(Entry.m_Key);
+  run(m_Ledger.drop(m_Runtime.m_Clock(), Keys));
+  co_return Done{};
+}
+
+} // namespace bulrushpitch
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,85 @@
+#include "bulrushpitch/config/settings.h"
+#include "bulrushpitch/core/expected.h"
+#include "bulrushpitch/daemon/daemon.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace {
+
+using namespace bulrushpitch;
+
+constexpr int ExitFaultySettings = 2;
+constexpr int ExitNotStarted = 1;
+
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    return std::nullopt;
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+void startLogging(const Settings &Read, const char *Program) {
+  FLAGS_logtostderr = Read.m_LogDirectory.empty();
+  if (!Read.m_LogDirectory.empty())
+    FLAGS_log_dir = Read.m_LogDirectory;
+  google::InitGoogleLogging(Program);
+}
+
+int serve(const Settings &Read) {
+  boost::asio::io_context Context(1);
+  Daemon Node(Context, Read);
+  boost::asio::signal_set Signals(Context, SIGTERM, SIGINT);
+  Signals.async_wait([&Node](boost::system::error_code Code, int) {
+    if (!Code)
+      Node.drain();
+  });
+  Expected<Done> Started = capture([&] { return Node.start(); });
+  if (!Started) {
+    LOG(ERROR) << "step=start error=\"" << Started.error() << '"';
+    return ExitNotStarted;
+  }
+  Context.run();
+  return Node.exitCode();
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  CLI::App App("Model-aware router for versions and cascades");
+  std::string File;
+  bool CheckOnly = false;
+  bool PrintOnly = false;
+  App.add_option("--settings", File, "YAML file with the daemon's settings")->required();
+  App.add_flag("--check-settings", CheckOnly, "Check the settings, print every fault and exit");
+  App.add_flag("--print-effective", PrintOnly, "Print the settings with all defaults and exit");
+  CLI11_PARSE(App, Count, Arguments);
+
+  const std::optional<std::string> Text = readFile(File);
+  if (!Text) {
+    std::cerr << "bulrushpitchd: cannot read " << File << '\n';
+    return ExitFaultySettings;
+  }
+  const SettingsOutcome Outcome = checkSettings(*Text, File);
+  for (const Fault &Found : Outcome.m_Faults)
+    std::cerr << Found.toString() << '\n';
+  if (!Outcome.m_Faults.empty())
+    return ExitFaultySettings;
+  if (CheckOnly)
+    return 0;
+  if (PrintOnly) {
+    std::cout << printEffective(Outcome.m_Settings);
+    return 0;
+  }
+  startLogging(Outcome.m_Settings, Arguments[0]);
+  return serve(Outcome.m_Settings);
+}
--- /dev/null
+++ b/packages/daemon/src/permit_service.cpp
@@ -0,0 +1,364 @@
+#include "bulrushpitch/daemon/permit_service.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace bulrushpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+constexpr Duration CandidateInterval = std::chrono::seconds(1);
+constexpr Duration AcquireTimeout = std::chrono::seconds(2);
+constexpr Duration OwnerWait = std::chrono::milliseconds(300);
+constexpr Duration OwnerRetry = std::chrono::milliseconds(20);
+constexpr Duration CancelTimeout = std::chrono::seconds(1);
+
+RampLimits rampOf(const Upstream &Object) {
+  return RampLimits{Object.m_ColdLimit, Object.m_Capacity, Object.m_WarmUp};
+}
+
+} // namespace
+
+PermitService::PermitService(const Runtime &Base, ClusterService &Cluster, RoutingService &Routing,
+                             PeerClient &Peers, EngineClient &Engines, std::shared_ptr<TableExecutor> Table,
+                             Recorder &Events)
+    : m_Runtime(Base), m_Cluster(Cluster), m_Routing(Routing), m_Peers(Peers), m_Engines(Engines),
+      m_Table(std::move(Table)), m_Events(Events), m_Leases(Cluster.self(), Cluster.incarnation()),
+      m_Owner([this](const UpstreamId &Upstream, TimePoint Now) -> std::optional<FencingNumber> {
+        const std::optional<ShardId> Shard = shardFor(Upstream);
+        if (!Shard || !m_Leases.mayGrant(*Shard, Now))
+          return std::nullopt;
+        return m_Leases.held(*Shard, Now);
+      }),
+      m_Holder(Cluster.self()), m_Tick(
+                                    Base.m_Context, [] { return TickInterval; }, [this] { tick(); }) {
+  m_Cluster.onConfiguration([this](const Configuration &Effective) { configure(Effective); });
+  m_Cluster.onPause([this] { run(m_Leases.dropAll(m_Runtime.m_Clock())); });
+  m_Routing.onReport([this](const LoadReport &Report) { reported(Report); });
+}
+
+Result<void> PermitService::start() {
+  m_Tick.start();
+  return {};
+}
+
+void PermitService::stop() { m_Tick.stop(); }
+
+std::optional<ShardId> PermitService::shardFor(const UpstreamId &Upstream) const {
+  const auto Found = m_Upstreams.find(Upstream);
+  if (Found == m_Upstreams.end())
+    return std::nullopt;
+  return shardOf(Found->second.m_Domain, Upstream);
+}
+
+void PermitService::configure(const Configuration &Effective) {
+  for (const std::pair<const UpstreamId, Upstream> &Entry : m_Upstreams)
+    if (!Effective.m_Upstreams.contains(Entry.first))
+      m_Owner.disown(Entry.first);
+  m_Upstreams = Effective.m_Upstreams;
+  m_Regions.clear();
+  for (const std::pair<const DomainId, FailureDomain> &Entry : Effective.m_Domains)
+    m_Regions[Entry.first] = Entry.second.m_Region;
+  for (const std::pair<const UpstreamId, Upstream> &Entry : m_Upstreams)
+    m_Owner.configure(Entry.first, rampOf(Entry.second));
+  for (const std::pair<const ShardId, TimePoint> &Entry : m_Won)
+    ownUpstreams(Entry.first, Entry.second);
+}
+
+void PermitService::ownUpstreams(const ShardId &Shard, TimePoint GrantFrom) {
+  for (const std::pair<const UpstreamId, Upstream> &Entry : m_Upstreams)
+    if (shardFor(Entry.first) == Shard && !m_Owner.owns(Entry.first))
+      m_Owner.own(Entry.first, rampOf(Entry.second), GrantFrom);
+  updateWatched();
+}
+
+void PermitService::updateWatched() {
+  std::set<UpstreamId> Owned;
+  for (const std::pair<const UpstreamId, Upstream> &Entry : m_Upstreams)
+    if (m_Owner.owns(Entry.first))
+      Owned.insert(Entry.first);
+  m_Routing.watch(Owned);
+}
+
+void PermitService::chooseCandidates() {
+  const TimePoint Now = m_Runtime.m_Clock();
+  std::map<DomainId, std::vector<InstanceId>> Live;
+  Live[m_Runtime.m_Settings.m_Domain].push_back(m_Cluster.self());
+  for (const Member &Known : m_Cluster.membership().members())
+    if (Known.m_Update.m_State == MemberState::Alive)
+      Live[Known.m_Update.m_Domain].push_back(Known.m_Update.m_Instance);
+  for (const std::pair<const DomainId, RegionId> &Domain : m_Regions) {
+    if (Domain.second != m_Runtime.m_Settings.m_Region)
+      continue;
+    std::vector<InstanceId> Candidates = Live[Domain.first];
+    if (Candidates.empty()) {
+      for (const std::pair<const DomainId, std::vector<InstanceId>> &Other : Live)
+        if (const auto Region = m_Regions.find(Other.first);
+            Region != m_Regions.end() && Region->second == Domain.second)
+          Candidates.insert(Candidates.end(), Other.second.begin(), Other.second.end());
+    }
+    for (std::uint32_t Shard = 0; Shard < ShardsPerDomain; ++Shard)
+      run(m_Leases.candidates(Now, ShardId{Domain.first, Shard}, Candidates));
+  }
+}
+
+void PermitService::tick() {
+  const TimePoint Now = m_Runtime.m_Clock();
+  if (!m_Stopping && Now - m_CandidatesAt >= CandidateInterval && !m_Cluster.notReady()) {
+    m_CandidatesAt = Now;
+    chooseCandidates();
+  }
+  if (!m_Stopping)
+    run(m_Leases.tick(Now));
+  run(m_Holder.tick(Now));
+  for (const CancelStream &Action : m_Owner.tick(Now))
+    spawn(m_Runtime.m_Context, cancelForOwner(Action));
+}
+
+void PermitService::reported(const LoadReport &Report) {
+  if (!m_Owner.owns(Report.m_Upstream))
+    return;
+  RampReport Ramp;
+  Ramp.m_Upstream = Report.m_Upstream;
+  Ramp.m_StartId = Report.m_StartId;
+  Ramp.m_SampledAt = Report.m_ReceivedAt - Report.m_Age;
+  Ramp.m_Running = Report.m_Running + Report.m_Queued;
+  Ramp.m_Cold = Report.m_Cold;
+  m_Owner.report(m_Runtime.m_Clock(), Ramp);
+}
+
+void PermitService::run(LeaseActions Actions) {
+  for (LeaseAction &Action : Actions)
+    std::visit([this](auto &Chosen) { execute(std::move(Chosen)); }, Action);
+}
+
+void PermitService::execute(CommitRows Action) {
+  m_Table->commit(std::move(Action), [this](std::uint64_t Token, const CommitResult &Outcome) {
+    run(m_Leases.committed(m_Runtime.m_Clock(), Token, Outcome));
+  });
+}
+
+void PermitService::execute(ReadRow Action) {
+  m_Table->read(std::move(Action), [this](std::uint64_t Token, const ReadResult &Outcome) {
+    run(m_Leases.rowRead(m_Runtime.m_Clock(), Token, Outcome));
+  });
+}
+
+void PermitService::execute(const LeaseWon &Action) {
+  LOG(INFO) << "step=acquire-lease shard=" << Action.m_Shard.m_Domain << '/' << Action.m_Shard.m_Shard
+            << " fencing=" << Action.m_Fencing;
+  TimelineEvent Event;
+  Event.m_Kind = EventKind::LeaseAcquired;
+  Event.m_Domain = Action.m_Shard.m_Domain;
+  Event.m_Detail = "shard " + std::to_string(Action.m_Shard.m_Shard) + ", fencing number " +
+                   std::to_string(Action.m_Fencing.value());
+  m_Events.record(std::move(Event));
+  m_Won[Action.m_Shard] = Action.m_GrantFrom;
+  ownUpstreams(Action.m_Shard, Action.m_GrantFrom);
+}
+
+void PermitService::execute(const LeaseLost &Action) {
+  LOG(WARNING) << "step=lose-lease shard=" << Action.m_Shard.m_Domain << '/' << Action.m_Shard.m_Shard;
+  TimelineEvent Event;
+  Event.m_Kind = EventKind::LeaseLost;
+  Event.m_Domain = Action.m_Shard.m_Domain;
+  Event.m_Detail = "shard " + std::to_string(Action.m_Shard.m_Shard);
+  m_Events.record(std::move(Event));
+  m_Won.erase(Action.m_Shard);
+  for (const std::pair<const UpstreamId, Upstream> &Entry : m_Upstreams)
+    if (shardFor(Entry.first) == Action.m_Shard)
+      m_Owner.disown(Entry.first);
+  updateWatched();
+}
+
+void PermitService::run(PermitActions Actions) {
+  for (PermitAction &Action : Actions)
+    std::visit([this](auto &Chosen) { execute(std::move(Chosen)); }, Action);
+}
+
+void PermitService::execute(AcquirePermit Action) {
+  spawn(m_Runtime.m_Context, ask(std::move(Action.m_Request), false));
+}
+
+void PermitService::execute(RenewPermit Action) {
+  spawn(m_Runtime.m_Context, ask(std::move(Action.m_Request), true));
+}
+
+void PermitService::execute(ReleasePermit Action) { spawn(m_Runtime.m_Context, giveBack(std::move(Action))); }
+
+void PermitService::execute(const CancelStream &Action) {
+  LOG(WARNING) << "step=permit-expired upstream=" << Action.m_Upstream << " attempt=" << Action.m_Attempt;
+  if (m_OnCancel)
+    m_OnCancel(Action.m_Attempt);
+}
+
+asio::awaitable<std::optional<InstanceId>> PermitService::ownerOf(UpstreamId Upstream) {
+  const std::optional<ShardId> Shard = shardFor(Upstream);
+  if (!Shard)
+    co_return std::nullopt;
+  run(m_Leases.lookUp(m_Runtime.m_Clock(), *Shard));
+  for (Duration Waited{}; !m_Leases.owner(*Shard) && Waited < OwnerWait; Waited += OwnerRetry)
+    co_await sleepFor(m_Runtime.m_Context, OwnerRetry);
+  co_return m_Leases.owner(*Shard);
+}
+
+PeerPermit PermitService::toPeer(const PermitReply &Reply, const UpstreamId &Upstream) const {
+  PeerPermit Message;
+  Message.m_Upstream = Upstream;
+  Message.m_Attempt = Reply.m_Attempt;
+  Message.m_Granted = Reply.m_Granted;
+  Message.m_Fencing = Reply.m_Fencing;
+  Message.m_Ttl = std::chrono::duration_cast<std::chrono::milliseconds>(Reply.m_Ttl);
+  Message.m_Reason = Reply.m_Reason;
+  Message.m_Warm = m_Owner.warm(Upstream, m_Runtime.m_Clock());
+  Message.m_Lamport = m_Events.lamport();
+  return Message;
+}
+
+asio::awaitable<void> PermitService::ask(PermitRequest Request, bool Renewal) {
+  const TimePoint SentAt = m_Runtime.m_Clock();
+  const std::optional<InstanceId> Owner = co_await ownerOf(Request.m_Upstream);
+  PermitReply Reply;
+  Reply.m_Attempt = Request.m_Attempt;
+  if (!Owner) {
+    Reply.m_Reason = "no instance holds the lease of the upstream's shard";
+    answered(Request.m_Upstream, Reply, false, SentAt);
+    co_return;
+  }
+  if (*Owner == m_Cluster.self()) {
+    const TimePoint Now = m_Runtime.m_Clock();
+    Reply = Renewal ? m_Owner.renew(Now, Request) : m_Owner.request(Now, Request);
+    answered(Request.m_Upstream, Reply, m_Owner.warm(Request.m_Upstream, Now), SentAt);
+    co_return;
+  }
+  const std::optional<Endpoint> Address = m_Cluster.addressOf(*Owner);
+  if (!Address) {
+    Reply.m_Reason = "the address of the owner " + Owner->value() + " is not known";
+    answered(Request.m_Upstream, Reply, false, SentAt);
+    co_return;
+  }
+  PeerPermitRequest Message;
+  Message.m_Upstream = Request.m_Upstream;
+  Message.m_Requester = Request.m_Holder;
+  Message.m_Attempt = Request.m_Attempt;
+  Message.m_Lamport = m_Events.lamport();
+  Expected<PeerPermit> Answer = Error{};
+  if (Renewal)
+    Answer = co_await m_Peers.renewPermit(*Address, std::move(Message));
+  else
+    Answer = co_await m_Peers.acquirePermit(*Address, std::move(Message));
+  bool Warm = false;
+  if (Answer) {
+    Reply.m_Granted = Answer->m_Granted;
+    Reply.m_Ttl = Answer->m_Ttl;
+    Reply.m_Fencing = Answer->m_Fencing;
+    Reply.m_Reason = Answer->m_Reason;
+    Warm = Answer->m_Warm;
+  } else {
+    Reply.m_Reason = Answer.error().m_Detail;
+  }
+  answered(Request.m_Upstream, Reply, Warm, SentAt);
+}
+
+void PermitService::answered(const UpstreamId &Upstream, const PermitReply &Reply, bool Warm,
+                             TimePoint SentAt) {
+  const TimePoint Now = m_Runtime.m_Clock();
+  if (Warm)
+    m_Routing.upstreams().setWarm(Upstream, Now);
+  run(m_Holder.answered(Now, Upstream, Reply, SentAt));
+  if (const auto Found = m_Waiting.find(Reply.m_Attempt); Found != m_Waiting.end())
+    Found->second->set(Reply);
+}
+
+asio::awaitable<Expected<Done>> PermitService::acquire(UpstreamId Upstream, AttemptId Attempt) {
+  const std::shared_ptr<OneShot<PermitReply>> Answer =
+      std::make_shared<OneShot<PermitReply>>(m_Runtime.m_Context);
+  m_Waiting[Attempt] = Answer;
+  run(m_Holder.acquire(m_Runtime.m_Clock(), Upstream, Attempt));
+  const std::optional<PermitReply> Reply = co_await Answer->wait(AcquireTimeout);
+  m_Waiting.erase(Attempt);
+  if (Reply && Reply->m_Granted && m_Holder.mayStart(m_Runtime.m_Clock(), Attempt))
+    co_return Done{};
+  release(Attempt, false);
+  co_return Error{ErrorCode::NoPermit, "acquire permit", Upstream.value(), Ran::No,
+                  Reply ? Reply->m_Reason : "the owner of the upstream did not answer"};
+}
+
+void PermitService::release(const AttemptId &Attempt, bool Cold) {
+  run(m_Holder.release(m_Runtime.m_Clock(), Attempt, Cold));
+}
+
+void PermitService::releaseAll() {
+  m_Stopping = true;
+  const TimePoint Now = m_Runtime.m_Clock();
+  run(m_Holder.releaseAll(Now));
+  run(m_Leases.releaseAll(Now));
+}
+
+asio::awaitable<void> PermitService::giveBack(ReleasePermit Action) {
+  const std::optional<InstanceId> Owner = co_await ownerOf(Action.m_Request.m_Upstream);
+  if (!Owner)
+    co_return;
+  if (*Owner == m_Cluster.self()) {
+    const TimePoint Now = m_Runtime.m_Clock();
+    if (Action.m_Cold)
+      m_Owner.cold(Now, Action.m_Request.m_Upstream);
+    m_Owner.release(Now, Action.m_Request, Action.m_Ended);
+    co_return;
+  }
+  const std::optional<Endpoint> Address = m_Cluster.addressOf(*Owner);
+  if (!Address)
+    co_return;
+  PeerPermitRequest Message;
+  Message.m_Upstream = Action.m_Request.m_Upstream;
+  Message.m_Requester = Action.m_Request.m_Holder;
+  Message.m_Attempt = Action.m_Request.m_Attempt;
+  Message.m_Ended = Action.m_Ended;
+  Message.m_Cold = Action.m_Cold;
+  Message.m_Lamport = m_Events.lamport();
+  // If the message is lost, the permit expires at the owner.
+  static_cast<void>(co_await m_Peers.releasePermit(*Address, std::move(Message)));
+}
+
+asio::awaitable<void> PermitService::cancelForOwner(CancelStream Action) {
+  const std::optional<Endpoint> Address = m_Routing.addressOf(Action.m_Upstream);
+  if (!Address)
+    co_return;
+  Expected<Done> Cancelled = co_await m_Engines.cancel(*Address, Action.m_Attempt.value(), CancelTimeout);
+  if (Cancelled)
+    m_Owner.streamEnded(Action.m_Upstream, Action.m_Attempt);
+}
+
+std::vector<PermitService::HeldLease> PermitService::heldLeases() const {
+  std::vector<HeldLease> Held;
+  const TimePoint Now = m_Runtime.m_Clock();
+  for (const std::pair<const ShardId, TimePoint> &Entry : m_Won)
+    if (const std::optional<FencingNumber> Fencing = m_Leases.held(Entry.first, Now))
+      Held.push_back(HeldLease{Entry.first, *Fencing});
+  return Held;
+}
+
+asio::awaitable<Expected<PeerPermit>> PermitService::answerAcquire(PeerPermitRequest Request) {
+  const PermitRequest Asked{Request.m_Upstream, Request.m_Requester, Request.m_Attempt};
+  co_return toPeer(m_Owner.request(m_Runtime.m_Clock(), Asked), Request.m_Upstream);
+}
+
+asio::awaitable<Expected<PeerPermit>> PermitService::answerRenew(PeerPermitRequest Request) {
+  const PermitRequest Asked{Request.m_Upstream, Request.m_Requester, Request.m_Attempt};
+  co_return toPeer(m_Owner.renew(m_Runtime.m_Clock(), Asked), Request.m_Upstream);
+}
+
+asio::awaitable<Expected<Done>> PermitService::answerRelease(PeerPermitRequest Request) {
+  const PermitRequest Asked{Request.m_Upstream, Request.m_Requester, Request.m_Attempt};
+  const TimePoint Now = m_Runtime.m_Clock();
+  if (Request.m_Cold)
+    m_Owner.cold(Now, Request.m_Upstream);
+  m_Owner.release(Now, Asked, Request.m_Ended);
+  co_return Done{};
+}
+
+} // namespace bulrushpitch
--- /dev/null
+++ b/packages/daemon/src/routing_service.cpp
@@ -0,0 +1,230 @@
+#include "bulrushpitch/daemon/routing_service.h"
+
+#include "bulrushpitch/core/hash.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace bulrushpitch {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr Duration QueueInterval = std::chrono::milliseconds(20);
+constexpr Duration PollTimeout = std::chrono::milliseconds(900);
+/// Beyond this many engines for a version, a daemon works with a subset, so that load polls and connections
+/// stay bounded when there are hundreds of both (design 3.13).
+constexpr std::size_t EnginesPerVersion = 24;
+constexpr Duration UsualTokenGap = std::chrono::milliseconds(20);
+constexpr Duration UnreachableFor = std::chrono::seconds(2);
+
+LoadReport parseReport(const UpstreamId &Id, const std::string &Body, TimePoint Now) {
+  const Json Parsed = Json::parse(Body);
+  LoadReport Report;
+  Report.m_Upstream = Id;
+  Report.m_ReceivedAt = Now;
+  Report.m_StartId = Parsed.at("startId").get<std::string>();
+  Report.m_Age = std::chrono::milliseconds(Parsed.at("ageMs").get<std::uint32_t>());
+  Report.m_Running = Parsed.at("running").get<std::uint32_t>();
+  Report.m_Queued = Parsed.at("queued").get<std::uint32_t>();
+  Report.m_TokensPerSecond = Parsed.at("tokensPerSecond").get<double>();
+  Report.m_Cold = Parsed.at("cold").get<bool>();
+  Report.m_Leaving = Parsed.at("leaving").get<bool>();
+  return Report;
+}
+
+} // namespace
+
+RoutingService::RoutingService(const Runtime &Base, ClusterService &Cluster, HttpClient &Client,
+                               Recorder &Events)
+    : m_Runtime(Base), m_Cluster(Cluster), m_Client(Client), m_Events(Events),
+      m_Rollouts([this](const RolloutId &Id, std::string_view Reason) {
+        LOG(WARNING) << "step=stop-rollout rollout=" << Id << " reason=\"" << Reason << '"';
+        Restriction Stop;
+        Stop.m_Id = RestrictionId("stop-rollout/" + Id.value() + "/" +
+                                  std::to_string(m_Cluster.store().revision().value()));
+        Stop.m_Kind = RestrictionKind::StopRollout;
+        Stop.m_Target = Id.value();
+        Stop.m_Operator = m_Cluster.self().value();
+        Stop.m_Revision = m_Cluster.store().revision();
+        // The controller reports from within record(); applying the restriction there would change the
+        // configuration under it.
+        boost::asio::post(m_Runtime.m_Context, [this, Stop] { m_Cluster.restrict(Stop); });
+      }),
+      m_Router(m_Quality, m_Upstreams, m_Rollouts, m_Link, RouterSettings{Base.m_Settings.m_Region},
+               Base.m_Random),
+      m_PollTick(
+          Base.m_Context, [this] { return Duration(m_Runtime.m_Settings.m_LoadPollInterval); },
+          [this] { pollAll(); }),
+      m_QueueTick(
+          Base.m_Context, [] { return QueueInterval; }, [this] { pump(); }) {
+  m_Cluster.onConfiguration([this](const Configuration &Effective) { configure(Effective); });
+  m_Cluster.onInstanceList([this](const std::vector<ListedInstance> &List) { listed(List); });
+}
+
+Result<void> RoutingService::start() {
+  m_PollTick.start();
+  m_QueueTick.start();
+  return {};
+}
+
+void RoutingService::stop() {
+  m_PollTick.stop();
+  m_QueueTick.stop();
+}
+
+std::set<UpstreamId> RoutingService::subset(const Configuration &Effective) const {
+  std::map<VersionId, std::vector<std::string>> ByVersion;
+  std::set<UpstreamId> Chosen;
+  for (const std::pair<const UpstreamId, Upstream> &Entry : Effective.m_Upstreams) {
+    if (Entry.second.m_Kind == UpstreamKind::Service)
+      Chosen.insert(Entry.first);
+    for (const VersionId &Served : Entry.second.m_Versions)
+      ByVersion[Served].push_back(Entry.first.value());
+  }
+  for (std::pair<const VersionId, std::vector<std::string>> &Entry : ByVersion) {
+    std::vector<std::string> &Names = Entry.second;
+    if (Names.size() > EnginesPerVersion) {
+      Names = rendezvousOrder(m_Cluster.self().value(), std::move(Names));
+      Names.resize(EnginesPerVersion);
+    }
+    for (const std::string &Name : Names)
+      Chosen.insert(UpstreamId(Name));
+  }
+  return Chosen;
+}
+
+void RoutingService::configure(const Configuration &Effective) {
+  const TimePoint Now = m_Runtime.m_Clock();
+  m_Polled = subset(Effective);
+  m_Addresses.clear();
+  for (const std::pair<const UpstreamId, Upstream> &Entry : Effective.m_Upstreams)
+    m_Addresses[Entry.first] = Endpoint{Entry.second.m_Address, Entry.second.m_Port};
+  if (m_Polled.size() == Effective.m_Upstreams.size()) {
+    m_Router.setConfiguration(Effective, Now);
+  } else {
+    Configuration Reduced = Effective;
+    std::erase_if(Reduced.m_Upstreams, [this](const std::pair<const UpstreamId, Upstream> &Entry) {
+      return !m_Polled.contains(Entry.first);
+    });
+    m_Router.setConfiguration(Reduced, Now);
+  }
+  m_Queue.setConfiguration(Effective);
+  m_Retries.setShare(Effective.m_Limits.m_RetryShare);
+  m_Link.setRate(Effective.m_Limits.m_LinkBytesPerSecond,
+                 static_cast<std::uint32_t>(std::max<std::size_t>(1, m_Cluster.membership().liveCount())));
+}
+
+void RoutingService::listed(const std::vector<ListedInstance> &List) {
+  for (const ListedInstance &Entry : List)
+    if (Entry.m_Kind == ListedInstance::Kind::Upstream)
+      m_Upstreams.setLeaving(UpstreamId(Entry.m_Name), Entry.m_Leaving);
+}
+
+void RoutingService::watch(const std::set<UpstreamId> &Owned) { m_Owned = Owned; }
+
+void RoutingService::pollAll() {
+  std::set<UpstreamId> Targets = m_Polled;
+  Targets.insert(m_Owned.begin(), m_Owned.end());
+  for (const UpstreamId &Id : Targets) {
+    const std::optional<Endpoint> Address = addressOf(Id);
+    if (Address && m_PollsUnderWay.insert(Id).second)
+      spawn(m_Runtime.m_Context, poll(Id, *Address));
+  }
+}
+
+asio::awaitable<void> RoutingService::poll(UpstreamId Id, Endpoint Address) {
+  HttpRequest Request;
+  Request.m_Target = "/load";
+  Expected<HttpResponse> Response = co_await m_Client.exchange(Address, std::move(Request), PollTimeout);
+  m_PollsUnderWay.erase(Id);
+  const TimePoint Now = m_Runtime.m_Clock();
+  if (!Response) {
+    m_Upstreams.setUnreachable(Id, Now + UnreachableFor);
+    co_return;
+  }
+  if (Response->m_Status != 200)
+    co_return;
+  try {
+    const LoadReport Report = parseReport(Id, Response->m_Body, Now);
+    m_Upstreams.onReport(Report);
+    if (m_OnReport)
+      m_OnReport(Report);
+  } catch (const Json::exception &Malformed) {
+    LOG_EVERY_N(WARNING, 100) << "step=read-load-report upstream=" << Id << " error=\"" << Malformed.what()
+                              << '"';
+  }
+}
+
+std::optional<Endpoint> RoutingService::addressOf(const UpstreamId &Id) const {
+  const auto Found = m_Addresses.find(Id);
+  return Found == m_Addresses.end() ? std::nullopt : std::optional<Endpoint>(Found->second);
+}
+
+Expected<RouteDecision> RoutingService::decideService(const ServiceRequest &Request) {
+  return m_Router.decideService(Request, m_Runtime.m_Clock());
+}
+
+asio::awaitable<Expected<RouteDecision>> RoutingService::decide(const RouteRequest &Request) {
+  std::shared_ptr<Waiting> Place;
+  while (true) {
+    Expected<RouteDecision> Decision = m_Router.decide(Request, m_Runtime.m_Clock());
+    if (Decision || Decision.error().m_Code != ErrorCode::Overloaded)
+      co_return Decision;
+    Expected<std::shared_ptr<Waiting>> Queued = enqueue(Request, Place);
+    if (!Queued)
+      co_return Queued.error();
+    Place = *Queued;
+    const std::uint64_t Ticket = Place->m_Queued.m_Ticket;
+    m_Waiting[Ticket] = Place;
+    const Duration Left = Request.m_Deadline - m_Runtime.m_Clock();
+    const std::optional<Expected<Done>> Woken = co_await Place->m_Turn.wait(Left);
+    m_Waiting.erase(Ticket);
+    if (!Woken) {
+      m_Queue.cancel(Ticket);
+      co_return Error{ErrorCode::DeadlineUnreachable, "wait for an upstream", "", Ran::No,
+                      "no permitted upstream had room before the deadline"};
+    }
+    if (!Woken->hasValue())
+      co_return Woken->error();
+  }
+}
+
+Expected<std::shared_ptr<RoutingService::Waiting>>
+RoutingService::enqueue(const RouteRequest &Request, const std::shared_ptr<Waiting> &Place) {
+  const std::shared_ptr<Waiting> Next = std::make_shared<Waiting>(m_Runtime.m_Context);
+  if (Place) {
+    // It was its turn, but there was no room after all: it keeps its place.
+    Next->m_Queued = Place->m_Queued;
+    m_Queue.putBack(Next->m_Queued);
+    return Next;
+  }
+  QueuedRequest &Queued = Next->m_Queued;
+  Queued.m_Request = Request.m_Request;
+  Queued.m_Team = Request.m_Team;
+  Queued.m_Task = Request.m_Task;
+  Queued.m_EngineTime = UsualTokenGap * Request.m_ExpectedTokens.value();
+  Queued.m_Deadline = Request.m_Deadline;
+  Expected<std::uint64_t> Ticket = m_Queue.offer(Queued, m_Runtime.m_Clock());
+  if (!Ticket)
+    return Ticket.error();
+  Queued.m_Ticket = *Ticket;
+  return Next;
+}
+
+void RoutingService::pump() {
+  const TimePoint Now = m_Runtime.m_Clock();
+  for (const RefusedRequest &Refused : m_Queue.takeRefused(Now))
+    if (const auto Found = m_Waiting.find(Refused.m_Request.m_Ticket); Found != m_Waiting.end())
+      Found->second->m_Turn.set(Refused.m_Reason);
+  // One request for each call: it decides at once whether there is room, and the next call sees the outcome.
+  if (const std::optional<QueuedRequest> Next = m_Queue.take(Now))
+    if (const auto Found = m_Waiting.find(Next->m_Ticket); Found != m_Waiting.end())
+      Found->second->m_Turn.set(Done{});
+}
+
+} // namespace bulrushpitch
--- /dev/null
+++ b/packages/daemon/src/table_executor.cpp
@@ -0,0 +1,81 @@
+#include "bulrushpitch/daemon/table_executor.h"
+
+#include "bulrushpitch/daemon/async.h"
+
+namespace bulrushpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+WriteCondition toPlatform(TableCondition Condition) {
+  switch (Condition) {
+  case TableCondition::Absent:
+    return WriteCondition::Absent;
+  case TableCondition::Version:
+    return WriteCondition::Version;
+  case TableCondition::SkipIfSet:
+    return WriteCondition::SkipIfSet;
+  case TableCondition::Any:
+    break;
+  }
+  return WriteCondition::Any;
+}
+
+TableRow toProtocol(Row Read) {
+  return TableRow{std::move(Read.m_Key), std::move(Read.m_Value), Read.m_RowVersion};
+}
+
+} // namespace
+
+void TableExecutor::commit(CommitRows Action, CommitHook Report) {
+  spawn(m_Runtime.m_Context, runCommit(std::move(Action), std::move(Report)));
+}
+
+void TableExecutor::read(ReadRow Action, ReadHook Report) {
+  spawn(m_Runtime.m_Context, runRead(std::move(Action), std::move(Report)));
+}
+
+asio::awaitable<void> TableExecutor::runCommit(CommitRows Action, CommitHook Report) {
+  const std::shared_ptr<TableExecutor> Self = shared_from_this();
+  std::vector<RowWrite> Writes;
+  Writes.reserve(Action.m_Writes.size());
+  for (TableWrite &Write : Action.m_Writes) {
+    RowWrite Converted;
+    Converted.m_Key = std::move(Write.m_Key);
+    Converted.m_Value = std::move(Write.m_Value);
+    Converted.m_Condition = toPlatform(Write.m_Condition);
+    Converted.m_ExpectedVersion = Write.m_ExpectedVersion;
+    Writes.push_back(std::move(Converted));
+  }
+  ++m_Writes;
+  Expected<CommitOutcome> Committed = co_await m_Table.commit(std::move(Writes));
+  m_Reachable = Committed.hasValue();
+  if (!Committed) {
+    Report(Action.m_Token, Committed.error());
+    co_return;
+  }
+  TableOutcome Outcome;
+  Outcome.m_Committed = Committed->m_Committed;
+  Outcome.m_Written = std::move(Committed->m_Written);
+  for (Row &Read : Committed->m_Rows)
+    Outcome.m_Rows.push_back(toProtocol(std::move(Read)));
+  Report(Action.m_Token, std::move(Outcome));
+}
+
+asio::awaitable<void> TableExecutor::runRead(ReadRow Action, ReadHook Report) {
+  const std::shared_ptr<TableExecutor> Self = shared_from_this();
+  ++m_Reads;
+  Expected<std::optional<Row>> Read = co_await m_Table.get(std::move(Action.m_Key));
+  m_Reachable = Read.hasValue();
+  if (!Read) {
+    Report(Action.m_Token, Read.error());
+    co_return;
+  }
+  std::optional<TableRow> Converted;
+  if (*Read)
+    Converted = toProtocol(std::move(**Read));
+  Report(Action.m_Token, std::move(Converted));
+}
+
+} // namespace bulrushpitch
--- a/packages/rpc/include/bulrushpitch/rpc/messages.h
+++ b/packages/rpc/include/bulrushpitch/rpc/messages.h
@@ -46,6 +46,7 @@
 struct PeerMember {
   InstanceId m_Instance{};
   std::uint64_t m_Incarnation = 0;
+  std::uint64_t m_Beat = 0; ///< Rises when the member contradicts a suspicion.
   PeerMemberState m_State = PeerMemberState::Alive;
   Endpoint m_Address{}; ///< Peer RPC address.
   DomainId m_Domain{};
@@ -59,11 +60,15 @@
 
   InstanceId m_Instance{}; ///< The sender.
   std::uint64_t m_Incarnation = 0;
+  std::uint64_t m_Beat = 0; ///< Rises when the sender contradicts a suspicion.
+  bool m_Ready = false;     ///< The sender's startup gate is open.
+  bool m_Leaving = false;
   DomainId m_Domain{};
   RegionId m_Region{};
   Endpoint m_Rpc{};
   Endpoint m_Admin{};
   ConfigRevision m_Revision{};
+  InstanceId m_Publisher{};                  ///< Of m_Revision, if known.
   std::uint64_t m_RestrictionHash = 0;       ///< Of the whole set of the sender's restrictions.
   std::vector<Restriction> m_Restrictions{}; ///< Those that the receiver may lack.
   std::vector<PeerMember> m_Members{};       ///< At most maxMembers; error 702 with more.
@@ -92,15 +97,20 @@
 struct PeerPermitRequest {
   UpstreamId m_Upstream{};
   InstanceId m_Requester{};
-  PermitId m_Permit{}; ///< 0 when a permit is acquired.
+  AttemptId m_Attempt{}; ///< Names the permit.
+  bool m_Ended = true;   ///< In releasePermit: the stream has ended or was never started.
+  bool m_Cold = false;   ///< In releasePermit: the upstream showed a sign of coldness.
   LamportTime m_Lamport{};
   friend bool operator==(const PeerPermitRequest &, const PeerPermitRequest &) = default;
 };
 
-/// @brief A permit that was granted or renewed. A refusal is an Error (408, 703, 704) with its reason.
+/// @brief The owner's answer to a request for a permit or its renewal.
 struct PeerPermit {
   UpstreamId m_Upstream{};
-  PermitId m_Permit{};
+  AttemptId m_Attempt{};
+  bool m_Granted = false;
+  bool m_Warm = false;       ///< The upstream has reached its capacity and needs no permits.
+  std::string m_Reason{};    ///< Why it was refused.
   FencingNumber m_Fencing{}; ///< Of the owner's lease.
   std::chrono::milliseconds m_Ttl{};
   LamportTime m_Lamport{};
@@ -109,8 +119,7 @@
 
 /// @brief A charge that waits for the table service.
 struct PeerCharge {
-  TeamId m_Team{};
-  RequestId m_Request{};
+  std::string m_Key{};  ///< Of the row in the table service.
   std::string m_Json{}; ///< Empty in dropCharges.
   friend bool operator==(const PeerCharge &, const PeerCharge &) = default;
 };
@@ -118,6 +127,8 @@
 /// @brief Charges that a backup daemon holds, or may drop, for their owner.
 struct PeerCharges {
   InstanceId m_Owner{};
+  std::uint64_t m_Incarnation = 0;       ///< Of the owner.
+  std::uint64_t m_HolderIncarnation = 0; ///< Of the receiver, as the owner knows it.
   std::vector<PeerCharge> m_Charges{};
   LamportTime m_Lamport{};
   friend bool operator==(const PeerCharges &, const PeerCharges &) = default;
--- a/packages/rpc/schema/peer.capnp
+++ b/packages/rpc/schema/peer.capnp
@@ -42,6 +42,7 @@
   state @5 :UInt8;    # 0 alive, 1 suspect, 2 dead, 3 left.
   domain @6 :UInt8;   # Index into Digest.domains.
   ip6 @7 :Data;
+  beat @8 :UInt32;
 }
 
 struct Digest {
@@ -59,6 +60,10 @@
   headReadAgeMs @11 :Int64 = -1;  # -1 if the sender knows of no read.
   push @12 :Bool;
   domains @13 :List(Text);  # The members' domains, each once.
+  beat @14 :UInt32;
+  ready @15 :Bool;
+  leaving @16 :Bool;
+  publisher @17 :Text;
 }
 
 struct Fetch {
@@ -75,28 +80,34 @@
 struct PermitRequest {
   upstream @0 :Text;
   requester @1 :Text;
-  permit @2 :UInt64;
+  attempt @2 :Text;
   lamport @3 :UInt64;
+  ended @4 :Bool;
+  cold @5 :Bool;
 }
 
 struct Permit {
   upstream @0 :Text;
-  permit @1 :UInt64;
+  attempt @1 :Text;
   fencing @2 :UInt64;
   ttlMs @3 :UInt32;
   lamport @4 :UInt64;
+  granted @5 :Bool;
+  warm @6 :Bool;
+  reason @7 :Text;
 }
 
 struct Charge {
-  team @0 :Text;
-  request @1 :Text;
-  json @2 :Text;
+  key @0 :Text;
+  json @1 :Text;
 }
 
 struct Charges {
   owner @0 :Text;
   charges @1 :List(Charge);
   lamport @2 :UInt64;
+  incarnation @3 :UInt64;
+  holderIncarnation @4 :UInt64;
 }
 
 struct Probe {
--- a/packages/rpc/src/conversion.cpp
+++ b/packages/rpc/src/conversion.cpp
@@ -79,6 +79,7 @@
 void memberToWire(const PeerMember &From, std::uint8_t Domain, schema::Member::Builder To) {
   To.setInstance(text(From.m_Instance));
   To.setIncarnation(From.m_Incarnation);
+  To.setBeat(static_cast<std::uint32_t>(From.m_Beat));
   To.setState(static_cast<std::uint8_t>(From.m_State));
   addressToWire(From.m_Address, To);
   To.setDomain(Domain);
@@ -107,6 +108,7 @@
   PeerMember To;
   To.m_Instance = InstanceId(string(From.getInstance()));
   To.m_Incarnation = From.getIncarnation();
+  To.m_Beat = From.getBeat();
   To.m_State = enumeration<std::uint8_t, PeerMemberState>(
       From.getState(), static_cast<std::uint8_t>(PeerMemberState::Left), "member state");
   To.m_Address = addressFromWire(From);
@@ -191,6 +193,11 @@
     throw BadMessage("the digest has " + std::to_string(From.m_Members.size()) + " members");
   To.setInstance(text(From.m_Instance));
   To.setIncarnation(From.m_Incarnation);
+  To.setBeat(static_cast<std::uint32_t>(From.m_Beat));
+  To.setReady(From.m_Ready);
+  To.setLeaving(From.m_Leaving);
+  if (!From.m_Publisher.value().empty())
+    To.setPublisher(text(From.m_Publisher));
   To.setDomain(text(From.m_Domain));
   To.setRegion(text(From.m_Region));
   addressToWire(From.m_Rpc, To.initRpc());
@@ -213,6 +220,10 @@
 void fromWire(schema::Digest::Reader From, PeerDigest &To) {
   To.m_Instance = InstanceId(string(From.getInstance()));
   To.m_Incarnation = From.getIncarnation();
+  To.m_Beat = From.getBeat();
+  To.m_Ready = From.getReady();
+  To.m_Leaving = From.getLeaving();
+  To.m_Publisher = InstanceId(string(From.getPublisher()));
   To.m_Domain = DomainId(string(From.getDomain()));
   To.m_Region = RegionId(string(From.getRegion()));
   To.m_Rpc = addressFromWire(From.getRpc());
@@ -255,14 +266,18 @@
 void toWire(const PeerPermitRequest &From, schema::PermitRequest::Builder To) {
   To.setUpstream(text(From.m_Upstream));
   To.setRequester(text(From.m_Requester));
-  To.setPermit(From.m_Permit.value());
+  To.setAttempt(text(From.m_Attempt));
+  To.setEnded(From.m_Ended);
+  To.setCold(From.m_Cold);
   To.setLamport(From.m_Lamport.value());
 }
 
 void fromWire(schema::PermitRequest::Reader From, PeerPermitRequest &To) {
   To.m_Upstream = UpstreamId(string(From.getUpstream()));
   To.m_Requester = InstanceId(string(From.getRequester()));
-  To.m_Permit = PermitId(From.getPermit());
+  To.m_Attempt = AttemptId(string(From.getAttempt()));
+  To.m_Ended = From.getEnded();
+  To.m_Cold = From.getCold();
   To.m_Lamport = LamportTime(From.getLamport());
 }
 
@@ -271,7 +286,11 @@
   if (Ttl < 0 || Ttl > std::numeric_limits<std::uint32_t>::max())
     throw BadMessage("a permit's time to live of " + std::to_string(Ttl) + " ms is out of range");
   To.setUpstream(text(From.m_Upstream));
-  To.setPermit(From.m_Permit.value());
+  To.setAttempt(text(From.m_Attempt));
+  To.setGranted(From.m_Granted);
+  To.setWarm(From.m_Warm);
+  if (!From.m_Reason.empty())
+    To.setReason(text(From.m_Reason));
   To.setFencing(From.m_Fencing.value());
   To.setTtlMs(static_cast<std::uint32_t>(Ttl));
   To.setLamport(From.m_Lamport.value());
@@ -279,7 +298,10 @@
 
 void fromWire(schema::Permit::Reader From, PeerPermit &To) {
   To.m_Upstream = UpstreamId(string(From.getUpstream()));
-  To.m_Permit = PermitId(From.getPermit());
+  To.m_Attempt = AttemptId(string(From.getAttempt()));
+  To.m_Granted = From.getGranted();
+  To.m_Warm = From.getWarm();
+  To.m_Reason = string(From.getReason());
   To.m_Fencing = FencingNumber(From.getFencing());
   To.m_Ttl = std::chrono::milliseconds(From.getTtlMs());
   To.m_Lamport = LamportTime(From.getLamport());
@@ -287,13 +309,14 @@
 
 void toWire(const PeerCharges &From, schema::Charges::Builder To) {
   To.setOwner(text(From.m_Owner));
+  To.setIncarnation(From.m_Incarnation);
+  To.setHolderIncarnation(From.m_HolderIncarnation);
   To.setLamport(From.m_Lamport.value());
   capnp::List<schema::Charge>::Builder List = To.initCharges(listSize(From.m_Charges.size()));
   for (unsigned Index = 0; Index < List.size(); ++Index) {
     const PeerCharge &Item = From.m_Charges[Index];
     schema::Charge::Builder Charge = List[Index];
-    Charge.setTeam(text(Item.m_Team));
-    Charge.setRequest(text(Item.m_Request));
+    Charge.setKey(text(Item.m_Key));
     if (!Item.m_Json.empty())
       Charge.setJson(text(Item.m_Json));
   }
@@ -301,10 +324,11 @@
 
 void fromWire(schema::Charges::Reader From, PeerCharges &To) {
   To.m_Owner = InstanceId(string(From.getOwner()));
+  To.m_Incarnation = From.getIncarnation();
+  To.m_HolderIncarnation = From.getHolderIncarnation();
   To.m_Lamport = LamportTime(From.getLamport());
   for (schema::Charge::Reader Item : From.getCharges())
-    To.m_Charges.push_back(
-        {TeamId(string(Item.getTeam())), RequestId(string(Item.getRequest())), string(Item.getJson())});
+    To.m_Charges.push_back({string(Item.getKey()), string(Item.getJson())});
 }
 
 void toWire(const PeerProbe &From, schema::Probe::Builder To) {
--- a/packages/rpc/tests/loopback.h
+++ b/packages/rpc/tests/loopback.h
@@ -55,6 +55,7 @@
   for (std::size_t Index = 0; Index < PeerDigest::maxMembers; ++Index)
     Digest.m_Members.push_back({InstanceId("zapad-bratislava-a-02" + std::to_string(Index)),
                                 2,
+                                1,
                                 PeerMemberState::Alive,
                                 {"10.20.30.4" + std::to_string(Index), 7001},
                                 DomainId("trnava-a"),
