rpc: refuse numbers that do not fit their field, and follow the new message fields

Cause: a beat above 32 bits was cut without notice, so a contradicted suspicion would have been lost; the bench no longer compiled after the messages had got further fields. Ruled out: a 64-bit beat, because a digest carries up to nine of them each second.

--- a/packages/rpc/bench/rpc_bench.cpp
+++ b/packages/rpc/bench/rpc_bench.cpp
@@ -37,12 +37,12 @@
   Digest.m_Admin = {"10.20.30.40", 7002};
   Digest.m_HeadReadAge = 850ms;
   for (std::size_t Index = 0; Index < PeerDigest::maxMembers; ++Index)
-    Digest.m_Members.push_back({InstanceId("zapad-bratislava-a-02" + std::to_string(Index)),
-                                2,
-                                PeerMemberState::Alive,
-                                {"10.20.30.41", 7001},
-                                DomainId("trnava-a"),
-                                ConfigRevision(2300)});
+    Digest.m_Members.push_back({.m_Instance = InstanceId("zapad-bratislava-a-02" + std::to_string(Index)),
+                                .m_Incarnation = 2,
+                                .m_Beat = 1,
+                                .m_Address = {"10.20.30.41", 7001},
+                                .m_Domain = DomainId("trnava-a"),
+                                .m_Confirmed = ConfigRevision(2300)});
   return Digest;
 }
 
--- a/packages/rpc/src/conversion.cpp
+++ b/packages/rpc/src/conversion.cpp
@@ -27,6 +27,13 @@
   return static_cast<Enumeration>(Value);
 }
 
+/// @return a number whose field in the message has 32 bits
+std::uint32_t number32(std::uint64_t Value, const char *Field) {
+  if (Value > std::numeric_limits<std::uint32_t>::max())
+    throw BadMessage(std::string(Field) + " " + std::to_string(Value) + " does not fit its field");
+  return static_cast<std::uint32_t>(Value);
+}
+
 capnp::Data::Reader data(const std::string &Value) {
   return {reinterpret_cast<const kj::byte *>(Value.data()), Value.size()};
 }
@@ -79,7 +86,7 @@
 void memberToWire(const PeerMember &From, std::uint8_t Domain, schema::Member::Builder To) {
   To.setInstance(text(From.m_Instance));
   To.setIncarnation(From.m_Incarnation);
-  To.setBeat(static_cast<std::uint32_t>(From.m_Beat));
+  To.setBeat(number32(From.m_Beat, "beat"));
   To.setState(static_cast<std::uint8_t>(From.m_State));
   addressToWire(From.m_Address, To);
   To.setDomain(Domain);
@@ -193,7 +200,7 @@
     throw BadMessage("the digest has " + std::to_string(From.m_Members.size()) + " members");
   To.setInstance(text(From.m_Instance));
   To.setIncarnation(From.m_Incarnation);
-  To.setBeat(static_cast<std::uint32_t>(From.m_Beat));
+  To.setBeat(number32(From.m_Beat, "beat"));
   To.setReady(From.m_Ready);
   To.setLeaving(From.m_Leaving);
   if (!From.m_Publisher.value().empty())
@@ -282,9 +289,6 @@
 }
 
 void toWire(const PeerPermit &From, schema::Permit::Builder To) {
-  const std::int64_t Ttl = From.m_Ttl.count();
-  if (Ttl < 0 || Ttl > std::numeric_limits<std::uint32_t>::max())
-    throw BadMessage("a permit's time to live of " + std::to_string(Ttl) + " ms is out of range");
   To.setUpstream(text(From.m_Upstream));
   To.setAttempt(text(From.m_Attempt));
   To.setGranted(From.m_Granted);
@@ -292,7 +296,8 @@
   if (!From.m_Reason.empty())
     To.setReason(text(From.m_Reason));
   To.setFencing(From.m_Fencing.value());
-  To.setTtlMs(static_cast<std::uint32_t>(Ttl));
+  // A negative duration converts to a number that is too large.
+  To.setTtlMs(number32(static_cast<std::uint64_t>(From.m_Ttl.count()), "time to live"));
   To.setLamport(From.m_Lamport.value());
 }
 
--- a/packages/rpc/tests/peer_test.cpp
+++ b/packages/rpc/tests/peer_test.cpp
@@ -33,11 +33,17 @@
   Digest.m_Revision = ConfigRevision(Number());
   Digest.m_RestrictionHash = Number();
   Digest.m_Push = *rc::gen::arbitrary<bool>();
+  Digest.m_Ready = *rc::gen::arbitrary<bool>();
+  Digest.m_Leaving = *rc::gen::arbitrary<bool>();
+  Digest.m_Publisher = InstanceId(Text());
+  Digest.m_Beat = *rc::gen::arbitrary<std::uint32_t>();
   if (*rc::gen::arbitrary<bool>())
     Digest.m_HeadReadAge.reset();
   Digest.m_Members.resize(*rc::gen::inRange<std::size_t>(0, PeerDigest::maxMembers + 1));
-  for (PeerMember &Member : Digest.m_Members)
+  for (PeerMember &Member : Digest.m_Members) {
     Member.m_State = static_cast<PeerMemberState>(*rc::gen::inRange(0, 4));
+    Member.m_Beat = *rc::gen::arbitrary<std::uint32_t>();
+  }
   Digest.m_Restrictions.resize(*rc::gen::inRange<std::size_t>(0, 5));
   for (Restriction &Item : Digest.m_Restrictions)
     Item = {RestrictionId(Text()), static_cast<RestrictionKind>(*rc::gen::inRange(0, 4)), Text(), Text(),
@@ -128,7 +134,8 @@
   CHECK(Client.counters().of(PeerMethod::Fetch).m_MessagesReceived == 1);
 }
 
-TEST_CASE("a digest with too many members and an address that is no number are refused before sending") {
+TEST_CASE(
+    "a digest with too many members or too large a beat, and an address that is no number, are not sent") {
   boost::asio::io_context Context;
   PeerServer Server(Context, AnyPort, exchangeOnly());
   REQUIRE(Server.start());
@@ -139,6 +146,11 @@
   REQUIRE_FALSE(TooMany);
   CHECK(TooMany.error().m_Code == ErrorCode::PeerProtocol);
   CHECK(TooMany.error().m_Ran == Ran::No);
+  Digest.m_Members.clear();
+  Digest.m_Beat = std::uint64_t{1} << 32U; // Sent as 0, it would lose a contradicted suspicion.
+  const Expected<PeerDigest> TooLarge = await(Context, Client.exchange(Server.address(), Digest));
+  REQUIRE_FALSE(TooLarge);
+  CHECK(TooLarge.error().m_Code == ErrorCode::PeerProtocol);
   const Expected<PeerStatus> NoNumber = await(Context, Client.status({"localhost", 1}));
   REQUIRE_FALSE(NoNumber);
   CHECK(NoNumber.error().m_Code == ErrorCode::PeerProtocol);
