decision: learn how teams differ, foresee herding, explore new sessions

Causes and changes: - Daemons with like reports sent to the same engine between reports. The load now counts as many likely requests of the others as this daemon has sent and still runs, for each other daemon. Of 1, 3 and 7 for eight daemons, 7 was best. - A fixed variance between teams kept small teams on dear versions; it is now learned from the teams' means. - Tasks that come in sessions only never learned of a cheaper version; new sessions are now explored.

Ruled out by measurement: letting the known load exceed a warm engine's limit by 15% to 100%, as reports lag (worse at 90 and 110%: requests wait in the engine behind others); comparing only 2 or 3 upstreams (worse than foreseeing the others); more weight on nearly full engines; comparing the other region from 30% to 60% utilisation on (no clear change).

--- a/packages/decision/include/bulrushpitch/decision/quality.h
+++ b/packages/decision/include/bulrushpitch/decision/quality.h
@@ -40,10 +40,10 @@
 
 /// @brief Settings of the quality estimates.
 struct QualitySettings {
-  double m_PriorDeviation = 0.12;                 ///< Of Version::m_PriorQuality.
-  double m_TaskDeviation = 0.06;                  ///< Of a task's quality from its version's.
-  double m_TeamDeviation = 0.03;                  ///< Of a team's quality from its task's.
-  double m_Spread = 0.15;                         ///< Of single ratings, before any was seen.
+  double m_PriorDeviation = 0.12; ///< Of Version::m_PriorQuality.
+  double m_TaskDeviation = 0.06;  ///< Of a task's quality from its version's.
+  double m_TeamDeviation = 0.03;  ///< Of a team's quality from its task's, before enough teams were seen.
+  double m_Spread = 0.15;         ///< Of single ratings, before any was seen.
   Duration m_HalfLife = std::chrono::minutes(30); ///< After which a rating counts half.
   /// Distance of the recent ratings from the older ones, in standard errors, at which the older ones lose
   /// their weight. Successive means overlap, so at 4 a steady version loses its history about once in 30,000
@@ -116,6 +116,7 @@
   using TaskRows = std::unordered_map<TaskName, std::int32_t>;
 
   void decay(TimePoint Now);
+  void learnTeamVariance();
   static void addTo(Cell &Target, double Rating);
   bool changed(Cell &OfTask, const Cell &Own, double Rating) const;
   double spreadSquared(const Cell &Widest) const;
@@ -132,6 +133,7 @@
   std::vector<std::vector<Cell>> m_ByTask;
   std::unordered_map<TeamId, TaskRows> m_RowIndex;
   std::vector<Row> m_Rows;
+  std::vector<std::vector<double>> m_TeamVariance; ///< Between teams, by task and version.
   TimePoint m_DecayedAt{};
   bool m_Started = false;
 };
--- a/packages/decision/include/bulrushpitch/decision/router.h
+++ b/packages/decision/include/bulrushpitch/decision/router.h
@@ -28,10 +28,13 @@
       std::chrono::milliseconds(120); ///< Wait that a request in the own region accepts first.
   double m_SpillAt =
       0.75; ///< Utilisation of the own region's best upstream from which the other one is compared.
+  double m_Pressure = 0.05; ///< Seconds that a full upstream's score has beside its wait.
+  double m_Imitation =
+      7.0; ///< Other daemons that choose among the same upstreams, see UpstreamTable::likelyLoad.
   double m_BytesPerToken = 24.0;    ///< On the link between regions, with framing.
   std::uint64_t m_LongReport = 800; ///< Expected tokens from which an answer is a long report on the link.
   std::uint32_t m_Sample = 12;      ///< Upstreams compared per version, beside those that hold the prefix.
-  double m_NearEqual = 0.05;        ///< Scores within this share of the best count as equal.
+  double m_NearEqual = 0.02;        ///< Scores within this share of the best count as equal.
 };
 
 /// @brief A call of a plain service.
@@ -164,6 +167,10 @@
     Index m_Upstream = 0;
     double m_CachedShare = 0.0;
   };
+  struct Running {
+    UpstreamId m_Upstream;
+    TimePoint m_Since;
+  };
   /// Why a version's upstreams cannot take a request, in rising order of what is reported.
   enum class Obstacle : std::uint8_t { None, NoHost, Excluded, Link, Deadline, Full };
 
@@ -216,7 +223,7 @@
   std::vector<CompiledVersion> m_Versions;
   std::vector<CompiledService> m_Services;
   std::vector<bool> m_Near; ///< By upstream, whether it is in this region.
-  std::unordered_map<AttemptId, UpstreamId> m_Attempts;
+  std::unordered_map<AttemptId, Running> m_Attempts;
   std::uint64_t m_HostsGeneration = 0;
   TimePoint m_HostsRefreshedAt{};
 
--- a/packages/decision/include/bulrushpitch/decision/upstreams.h
+++ b/packages/decision/include/bulrushpitch/decision/upstreams.h
@@ -59,9 +59,12 @@
   /// @name Own requests
   /// @{
   void addOutstanding(std::uint32_t Index, TimePoint Now);
-  void removeOutstanding(std::uint32_t Index, TimePoint Now);
+  /// @param Sent when the request was added
+  void removeOutstanding(std::uint32_t Index, TimePoint Now, TimePoint Sent);
   /// @brief The upstream answered: its ramp starts or goes on, and its timeouts in a row end.
   void onServed(std::uint32_t Index, TimePoint Now);
+  /// @brief Notes how long a request took, from dispatch to end.
+  void onServiceTime(std::uint32_t Index, Duration Taken);
   /// @brief Assumes that a prefix is cached where a request with it was sent.
   void assumeCached(std::uint32_t Index, std::uint64_t Prefix);
   /// @}
@@ -79,12 +82,20 @@
   std::uint32_t limit(std::uint32_t Index, TimePoint Now) const;
   /// @return requests known to be at the upstream
   std::uint32_t knownLoad(std::uint32_t Index) const;
+  /// @return the known load, and @p Imitation for each request that this daemon sent after the figures of the
+  /// last report and that still runs. Other daemons decide by the same rules on like reports, so they are
+  /// likely to have sent there too.
+  double likelyLoad(std::uint32_t Index, double Imitation) const {
+    return knownLoad(Index) + Imitation * m_States[Index].m_SentSince;
+  }
   /// @return requests of this daemon at the upstream
   std::uint32_t outstanding(std::uint32_t Index) const { return m_States[Index].m_Own; }
   /// @param Load requests running
   /// @param Usual seconds between tokens of an idle engine that has not reported any
   /// @return seconds between two tokens of a stream
   double tokenGap(std::uint32_t Index, double Load, double Usual) const;
+  /// @return mean time of the last requests at the upstream, in seconds
+  double serviceSeconds(std::uint32_t Index) const { return m_States[Index].m_ServiceSeconds; }
   const PrefixCacheIndex &cache() const { return m_Cache; }
   /// @return a number that changes whenever the answer of exclusion may change other than by time
   std::uint64_t generation() const { return m_Generation; }
@@ -96,6 +107,7 @@
   static constexpr std::size_t HistorySize = 64;
   struct Change {
     TimePoint m_At{};
+    TimePoint m_Sent{}; ///< When the request was sent.
     std::int32_t m_Delta = 0;
   };
   struct State {
@@ -119,7 +131,10 @@
     std::uint32_t m_Timeouts = 0;
     std::uint32_t m_Own = 0;
     std::uint32_t m_Others = 0;
-    double m_BaseGap = 0.0; ///< Seconds between tokens at no load; 0 before any report.
+    std::uint32_t m_SentSince = 0; ///< Own requests that run and were sent after m_ReportOf.
+    TimePoint m_ReportOf{};        ///< Time of the last report's figures.
+    double m_BaseGap = 0.0;        ///< Seconds between tokens at no load; 0 before any report.
+    double m_ServiceSeconds = 1.0;
     std::uint64_t m_NextEvent = 0;
     std::array<Change, HistorySize> m_History{};
     std::uint32_t m_HistoryNext = 0;
@@ -127,8 +142,9 @@
 
   std::uint32_t slotFor(const UpstreamId &Id);
   void coolDown(std::uint32_t Index);
+  static std::uint32_t runningSentAfter(const State &Target, TimePoint Then);
   static std::uint32_t ownAt(const State &Target, TimePoint Then);
-  static void note(State &Target, std::int32_t Delta, TimePoint Now);
+  static void note(State &Target, std::int32_t Delta, TimePoint Now, TimePoint Sent);
 
   std::vector<State> m_States;
   std::unordered_map<UpstreamId, std::uint32_t> m_Index;
--- a/packages/decision/src/quality.cpp
+++ b/packages/decision/src/quality.cpp
@@ -12,6 +12,8 @@
 constexpr double SpreadPriorCount = 10.0;
 /// Ratings from which a team's mean is good enough to see a change against it, and what is left after one.
 constexpr double LeastForResidual = 6.0;
+/// Weight of the configured variance between teams, in teams.
+constexpr double TeamPriorCount = 2.0;
 
 /// A normal belief that is narrowed by observations.
 struct Belief {
@@ -30,6 +32,33 @@
 
 double square(double Value) { return Value * Value; }
 
+/// Sums over the teams of a task and version, from which the variance between teams is estimated.
+struct Moments {
+  double m_Teams = 0.0;
+  double m_Count = 0.0;
+  double m_CountSquared = 0.0;
+  double m_Sum = 0.0;
+  double m_WeightedSquares = 0.0; ///< Count times mean squared.
+
+  void add(double Count, double Sum) {
+    if (Count < LeastForResidual)
+      return;
+    m_Teams += 1.0;
+    m_Count += Count;
+    m_CountSquared += Count * Count;
+    m_Sum += Sum;
+    m_WeightedSquares += Sum * Sum / Count;
+  }
+
+  double betweenTeams(double SpreadSquared, double Prior) const {
+    if (m_Teams < 2.0)
+      return Prior;
+    const double Scatter = m_WeightedSquares - m_Sum * m_Sum / m_Count;
+    const double Found = (Scatter - (m_Teams - 1.0) * SpreadSquared) / (m_Count - m_CountSquared / m_Count);
+    return (TeamPriorCount * Prior + m_Teams * std::max(Found, 0.0)) / (TeamPriorCount + m_Teams);
+  }
+};
+
 } // namespace
 
 QualityEstimator::QualityEstimator(QualitySettings Settings) : m_Settings(Settings) {}
@@ -89,6 +118,25 @@
     Scale(Cells);
   for (Row &Each : m_Rows)
     Scale(Each.m_Cells);
+  learnTeamVariance();
+}
+
+/// Learns how far teams differ, by the moments of the teams' means (DerSimonian and Laird). Where teams are
+/// alike, a team with few ratings is then served by the estimate of all.
+void QualityEstimator::learnTeamVariance() {
+  m_TeamVariance.assign(m_ByTask.size(),
+                        std::vector<double>(m_Versions.size(), square(m_Settings.m_TeamDeviation)));
+  std::vector<Moments> ByVersion;
+  for (std::size_t Task = 0; Task < m_ByTask.size(); ++Task) {
+    ByVersion.assign(m_Versions.size(), Moments{});
+    for (const Row &Each : m_Rows)
+      for (std::size_t At = 0; At < m_Versions.size() && Each.m_TaskRow == static_cast<std::int32_t>(Task);
+           ++At)
+        ByVersion[At].add(Each.m_Cells[At].m_Count, Each.m_Cells[At].m_Sum);
+    for (std::size_t At = 0; At < m_Versions.size(); ++At)
+      m_TeamVariance[Task][At] =
+          ByVersion[At].betweenTeams(spreadSquared(m_ByTask[Task][At]), square(m_Settings.m_TeamDeviation));
+  }
 }
 
 void QualityEstimator::addTo(Cell &Target, double Rating) {
@@ -198,7 +246,10 @@
   const Cell &Widest = Task.m_Count > SpreadPriorCount ? Task : All;
   const double SpreadSquared = spreadSquared(Widest);
   const double TaskVariance = square(m_Settings.m_TaskDeviation);
-  const double TeamVariance = square(m_Settings.m_TeamDeviation);
+  const bool Learned = TaskRow >= 0 && static_cast<std::size_t>(TaskRow) < m_TeamVariance.size() &&
+                       At < m_TeamVariance[static_cast<std::size_t>(TaskRow)].size();
+  const double TeamVariance =
+      Learned ? m_TeamVariance[static_cast<std::size_t>(TaskRow)][At] : square(m_Settings.m_TeamDeviation);
   Belief Quality{m_Prior[At], square(m_Settings.m_PriorDeviation)};
   Quality.observe(All.m_Count - Task.m_Count, All.m_Sum - Task.m_Sum, SpreadSquared, TaskVariance);
   Quality.m_Variance += TaskVariance;
--- a/packages/decision/src/router.cpp
+++ b/packages/decision/src/router.cpp
@@ -19,7 +19,6 @@
 constexpr Duration ConnectPause = std::chrono::seconds(1);
 constexpr double PermitTrip = 0.005;      ///< Seconds to ask an owner in the own region for a permit.
 constexpr double CallSeconds = 0.02;      ///< Usual time of a call of a plain service.
-constexpr double PressureSeconds = 0.05;  ///< Score of a full upstream beside its wait, see score().
 constexpr std::uint32_t MostHolders = 16; ///< Upstreams with the prefix that are compared.
 
 double secondsOf(Duration Value) { return std::chrono::duration<double>(Value).count(); }
@@ -349,10 +348,11 @@
   }
 }
 
-/// With the exploration share, puts a cheaper candidate that may reach the target first. Sessions are left
-/// out, because they would stay on the version.
+/// With the exploration share, puts a cheaper candidate that may reach the target first. New sessions are
+/// explored too, though they stay on the version: a task that comes in sessions only would otherwise never
+/// learn of a cheaper version.
 void Router::explore(const RouteRequest &Request, double Target) {
-  if (Request.m_Session || Request.m_CascadeStep > 0 || m_ExplorationShare <= 0.0)
+  if (Request.m_CascadeStep > 0 || m_ExplorationShare <= 0.0)
     return;
   const std::uint64_t Draw = m_Random();
   if (static_cast<double>(Draw >> 11U) * 0x1.0p-53 >= m_ExplorationShare)
@@ -441,23 +441,27 @@
   const std::uint32_t Limit = m_Upstreams.limit(Upstream, Now);
   if (Load >= Limit)
     return Obstacle::Full;
+  const bool Warm = m_Upstreams.warmth(Upstream, Now) == Warmth::Warm;
   double Cached = 0.0;
   for (const Holder &Each : m_Holders)
     if (Each.m_Upstream == Upstream)
       Cached = Each.m_CachedShare;
-  const double Utilisation = (Load + 1.0) / Limit;
+  const double Likely = m_Upstreams.likelyLoad(Upstream, m_Settings.m_Imitation) + 1.0;
+  const double Utilisation = Likely / Limit;
   const double Prefill =
       static_cast<double>(Request.m_PromptTokens.value()) * (1.0 - Cached) / m_Settings.m_PrefillPerSecond;
   const double Far = m_Near[Upstream] ? 0.0 : secondsOf(m_Settings.m_RegionCost);
-  const double Gap = m_Upstreams.tokenGap(Upstream, Load + 1.0, secondsOf(m_Settings.m_UsualGap));
-  const double Permit = m_Upstreams.warmth(Upstream, Now) == Warmth::Warm ? 0.0 : PermitTrip;
+  const double Gap = m_Upstreams.tokenGap(Upstream, Likely, secondsOf(m_Settings.m_UsualGap));
+  const double Permit = Warm ? 0.0 : PermitTrip;
+  const double Queue =
+      Load >= Limit ? (Load + 1.0 - Limit) / Limit * m_Upstreams.serviceSeconds(Upstream) : 0.0;
   // An engine reads prompts between steps of its batch, so a busy one reads them more slowly.
-  const double Wait = Prefill * (1.0 + Utilisation) + Gap + Permit + Far;
+  const double Wait = Prefill * (1.0 + Utilisation) + Gap + Permit + Far + Queue;
   const double Whole = Wait + Gap * static_cast<double>(Request.m_ExpectedTokens.value());
   if (Now + durationOf(Whole) > Request.m_Deadline)
     return Obstacle::Deadline;
   // Reports lag, so a nearly full upstream may be full by now. The cube leaves lightly loaded ones equal.
-  const double Pressure = PressureSeconds * Utilisation * Utilisation * Utilisation;
+  const double Pressure = m_Settings.m_Pressure * Utilisation * Utilisation * Utilisation;
   m_Scored.push_back({Upstream, Whole + Pressure, Wait, Cached, Utilisation});
   return Obstacle::None;
 }
@@ -685,7 +689,8 @@
 
 void Router::onDispatched(const AttemptId &Attempt, const RouteDecision &Decision, TimePoint Now) {
   const Index At = m_Upstreams.indexOf(Decision.m_Upstream);
-  if (At == UpstreamTable::NoIndex || !m_Attempts.try_emplace(Attempt, Decision.m_Upstream).second)
+  if (At == UpstreamTable::NoIndex ||
+      !m_Attempts.try_emplace(Attempt, Running{Decision.m_Upstream, Now}).second)
     return;
   m_Upstreams.addOutstanding(At, Now);
 }
@@ -694,7 +699,7 @@
   const auto Found = m_Attempts.find(Attempt);
   if (Found == m_Attempts.end())
     return;
-  if (const Index At = m_Upstreams.indexOf(Found->second); At != UpstreamTable::NoIndex)
+  if (const Index At = m_Upstreams.indexOf(Found->second.m_Upstream); At != UpstreamTable::NoIndex)
     m_Upstreams.onServed(At, Now);
 }
 
@@ -702,9 +707,10 @@
   const auto Found = m_Attempts.find(Attempt);
   if (Found == m_Attempts.end())
     return;
-  if (const Index At = m_Upstreams.indexOf(Found->second); At != UpstreamTable::NoIndex) {
+  if (const Index At = m_Upstreams.indexOf(Found->second.m_Upstream); At != UpstreamTable::NoIndex) {
     m_Upstreams.onServed(At, Now);
-    m_Upstreams.removeOutstanding(At, Now);
+    m_Upstreams.onServiceTime(At, Now - Found->second.m_Since);
+    m_Upstreams.removeOutstanding(At, Now, Found->second.m_Since);
   }
   m_Attempts.erase(Found);
 }
@@ -713,10 +719,11 @@
   const auto Found = m_Attempts.find(Attempt);
   if (Found == m_Attempts.end())
     return;
-  const UpstreamId Upstream = Found->second;
+  const UpstreamId Upstream = Found->second.m_Upstream;
+  const TimePoint Sent = Found->second.m_Since;
   m_Attempts.erase(Found);
   if (const Index At = m_Upstreams.indexOf(Upstream); At != UpstreamTable::NoIndex)
-    m_Upstreams.removeOutstanding(At, Now);
+    m_Upstreams.removeOutstanding(At, Now, Sent);
   if (Code == ErrorCode::UpstreamTimeout)
     m_Upstreams.onTimeout(Upstream);
   else if (Code == ErrorCode::UpstreamRefused)
--- a/packages/decision/src/upstreams.cpp
+++ b/packages/decision/src/upstreams.cpp
@@ -108,6 +108,8 @@
   Target.m_ReportedLeaving = Report.m_Leaving;
   const std::uint32_t Reported = Report.m_Running + Report.m_Queued;
   Target.m_Others = Reported - std::min(Reported, ownAt(Target, Then));
+  Target.m_ReportOf = Then;
+  Target.m_SentSince = runningSentAfter(Target, Then);
   if (Report.m_Running > 0 && Report.m_TokensPerSecond > 0.0) {
     const double Share = static_cast<double>(Report.m_Running) / Target.m_Capacity;
     const double Base =
@@ -187,8 +189,8 @@
     coolDown(Index);
 }
 
-void UpstreamTable::note(State &Target, std::int32_t Delta, TimePoint Now) {
-  Target.m_History[Target.m_HistoryNext % HistorySize] = {Now, Delta};
+void UpstreamTable::note(State &Target, std::int32_t Delta, TimePoint Now, TimePoint Sent) {
+  Target.m_History[Target.m_HistoryNext % HistorySize] = {Now, Sent, Delta};
   ++Target.m_HistoryNext;
 }
 
@@ -204,16 +206,34 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(Count, 0));
 }
 
+std::uint32_t UpstreamTable::runningSentAfter(const State &Target, TimePoint Then) {
+  std::int32_t Count = 0;
+  const std::uint32_t Kept = std::min<std::uint32_t>(Target.m_HistoryNext, HistorySize);
+  for (std::uint32_t Back = 1; Back <= Kept; ++Back) {
+    const Change &Each = Target.m_History[(Target.m_HistoryNext - Back) % HistorySize];
+    if (Each.m_At <= Then)
+      break;
+    if (Each.m_Sent > Then)
+      Count += Each.m_Delta;
+  }
+  return static_cast<std::uint32_t>(std::max(Count, 0));
+}
+
 void UpstreamTable::addOutstanding(std::uint32_t Index, TimePoint Now) {
-  ++m_States[Index].m_Own;
-  note(m_States[Index], 1, Now);
+  State &Target = m_States[Index];
+  ++Target.m_Own;
+  ++Target.m_SentSince;
+  note(Target, 1, Now, Now);
 }
 
-void UpstreamTable::removeOutstanding(std::uint32_t Index, TimePoint Now) {
-  if (m_States[Index].m_Own == 0)
+void UpstreamTable::removeOutstanding(std::uint32_t Index, TimePoint Now, TimePoint Sent) {
+  State &Target = m_States[Index];
+  if (Target.m_Own == 0)
     return;
-  --m_States[Index].m_Own;
-  note(m_States[Index], -1, Now);
+  --Target.m_Own;
+  if (Sent > Target.m_ReportOf && Target.m_SentSince > 0)
+    --Target.m_SentSince;
+  note(Target, -1, Now, Sent);
 }
 
 void UpstreamTable::onServed(std::uint32_t Index, TimePoint Now) {
@@ -225,6 +245,11 @@
   Target.m_RampStart = Now;
 }
 
+void UpstreamTable::onServiceTime(std::uint32_t Index, Duration Taken) {
+  double &Mean = m_States[Index].m_ServiceSeconds;
+  Mean += 0.05 * (std::chrono::duration<double>(Taken).count() - Mean);
+}
+
 void UpstreamTable::assumeCached(std::uint32_t Index, std::uint64_t Prefix) {
   m_Cache.store(Prefix, Index, AssumedCertainty);
 }
--- a/packages/decision/tests/upstreams_test.cpp
+++ b/packages/decision/tests/upstreams_test.cpp
@@ -88,7 +88,7 @@
   // The figures are of 500 ms ago: one own request and four of others.
   Under.report(5, "s1", false, std::chrono::milliseconds(500));
   CHECK(Under.m_Table.knownLoad(At) == 6);
-  Under.m_Table.removeOutstanding(At, Under.m_Now);
+  Under.m_Table.removeOutstanding(At, Under.m_Now, Under.m_Now - std::chrono::seconds(1));
   CHECK(Under.m_Table.knownLoad(At) == 5);
   // The request that has ended since is in the figures.
   Under.m_Now += std::chrono::milliseconds(100);
