decision: let the others' load of a lagging report fade

The estimate of the load now added requests that other daemons are likely to have sent, but kept all those that the report had counted, although many have ended. On short tasks it was too high and sent requests to the other region. The others' part now fades with the mean service time.

The bench prints the ratio over all tasks together as well.

--- a/packages/decision/bench/policy_bench.cpp
+++ b/packages/decision/bench/policy_bench.cpp
@@ -81,6 +81,15 @@
   return percentile(std::move(Values), 0.99);
 }
 
+/// @return the same over all tasks
+double wholeTail(const std::vector<Job> &Trace, const std::vector<float> &Seconds) {
+  std::vector<float> Values;
+  for (std::size_t Index = 0; Index < Trace.size(); ++Index)
+    if (Trace[Index].m_Arrival >= WarmUp)
+      Values.push_back(Seconds[Index]);
+  return percentile(std::move(Values), 0.99);
+}
+
 /// The least of the baselines' tails, to compare ours with.
 struct Tails {
   double m_Ours = 0.0;
@@ -98,6 +107,8 @@
   for (int Load : {70, 90, 110}) {
     const std::vector<Job> Trace = makeTrace(At, fullRate(At) * Load / 100.0, RunSeconds, Seed);
     const std::string AtLoad = At.m_Name + "_load" + std::to_string(Load) + "_";
+    Tails FirstAll;
+    Tails WholeAll;
     std::vector<Tails> First(At.m_Tasks.size());
     std::vector<Tails> Whole(At.m_Tasks.size());
     std::map<Policy, double> Cost;
@@ -115,6 +126,8 @@
       addLatency(Lines, Prefix, "gap", Run.m_Gap);
       addLatency(Lines, Prefix, "whole", Run.m_Whole);
       Cost[How] = costPerAnswer(Run);
+      FirstAll.add(How, qualityMargin(At, Run) >= -0.005, wholeTail(Trace, Run.m_FirstOfJob));
+      WholeAll.add(How, qualityMargin(At, Run) >= -0.005, wholeTail(Trace, Run.m_WholeOfJob));
       for (std::size_t Task = 0; Task < At.m_Tasks.size(); ++Task) {
         const bool Reaches = qualityMargin(At, Run) >= -0.005;
         const double FirstTail = taskTail(Trace, Task, Run.m_FirstOfJob);
@@ -130,6 +143,9 @@
     if (OnlyOurs)
       continue;
     Lines.add(AtLoad + "cost_over_always_best", Cost[Policy::Ours] / Cost[Policy::AlwaysBest], "ratio");
+    Lines.add(AtLoad + "first_token_p99_over_least_baseline", FirstAll.m_Ours / FirstAll.m_LeastBaseline,
+              "ratio");
+    Lines.add(AtLoad + "whole_p99_over_least_baseline", WholeAll.m_Ours / WholeAll.m_LeastBaseline, "ratio");
     for (std::size_t Task = 0; Task < At.m_Tasks.size(); ++Task) {
       const std::string Name = AtLoad + At.m_Tasks[Task].m_Name.value();
       Lines.add(Name + "_first_token_p99_over_least_baseline",
--- a/packages/decision/include/bulrushpitch/decision/upstreams.h
+++ b/packages/decision/include/bulrushpitch/decision/upstreams.h
@@ -82,12 +82,11 @@
   std::uint32_t limit(std::uint32_t Index, TimePoint Now) const;
   /// @return requests known to be at the upstream
   std::uint32_t knownLoad(std::uint32_t Index) const;
-  /// @return the known load, and @p Imitation for each request that this daemon sent after the figures of the
-  /// last report and that still runs. Other daemons decide by the same rules on like reports, so they are
-  /// likely to have sent there too.
-  double likelyLoad(std::uint32_t Index, double Imitation) const {
-    return knownLoad(Index) + Imitation * m_States[Index].m_SentSince;
-  }
+  /// @brief Estimates the load now. The others' requests of the last report have ended in part. Other daemons
+  /// decide by the same rules on like reports, so they are likely to have sent where this daemon has.
+  /// @param Imitation requests of others for each that this daemon sent after the report's figures and that
+  /// still runs
+  double likelyLoad(std::uint32_t Index, double Imitation, TimePoint Now) const;
   /// @return requests of this daemon at the upstream
   std::uint32_t outstanding(std::uint32_t Index) const { return m_States[Index].m_Own; }
   /// @param Load requests running
--- a/packages/decision/src/router.cpp
+++ b/packages/decision/src/router.cpp
@@ -446,7 +446,7 @@
   for (const Holder &Each : m_Holders)
     if (Each.m_Upstream == Upstream)
       Cached = Each.m_CachedShare;
-  const double Likely = m_Upstreams.likelyLoad(Upstream, m_Settings.m_Imitation) + 1.0;
+  const double Likely = m_Upstreams.likelyLoad(Upstream, m_Settings.m_Imitation, Now) + 1.0;
   const double Utilisation = Likely / Limit;
   const double Prefill =
       static_cast<double>(Request.m_PromptTokens.value()) * (1.0 - Cached) / m_Settings.m_PrefillPerSecond;
--- a/packages/decision/src/upstreams.cpp
+++ b/packages/decision/src/upstreams.cpp
@@ -294,6 +294,13 @@
   return m_States[Index].m_Own + m_States[Index].m_Others;
 }
 
+double UpstreamTable::likelyLoad(std::uint32_t Index, double Imitation, TimePoint Now) const {
+  const State &Target = m_States[Index];
+  const double Age = std::max(0.0, std::chrono::duration<double>(Now - Target.m_ReportOf).count());
+  const double Left = Target.m_ServiceSeconds / (Target.m_ServiceSeconds + Age);
+  return Target.m_Own + Left * Target.m_Others + Imitation * Target.m_SentSince;
+}
+
 double UpstreamTable::tokenGap(std::uint32_t Index, double Load, double Usual) const {
   const State &Target = m_States[Index];
   const double Base = Target.m_BaseGap > 0.0 ? Target.m_BaseGap : Usual;
