--- a/packages/client/src/commands.cpp
+++ b/packages/client/src/commands.cpp
@@ -1,6 +1,5 @@
 #include "detail/commands.h"
 
-#include "bulrushpitch/config/settings.h"
 #include "detail/output.h"
 
 #include <algorithm>
@@ -192,17 +191,22 @@
   for (const Endpoint &Daemon : m_Client.allDaemons()) {
     const Expected<ExplainReply> Answer =
         m_Client.getFrom<ExplainReply>(Daemon, adminTarget(admin_path::Explain, {{"request", Request}}));
-    if (Answer)
+    if (Answer) {
       All.m_Decisions.insert(All.m_Decisions.end(), Answer->m_Decisions.begin(), Answer->m_Decisions.end());
-    else
+    } else if (Answer.error().m_Code != ErrorCode::ObjectNotFound) {
       Failure = Answer.error();
-    Answered |= Answer.hasValue();
-    if (!Answer)
       *m_Hooks.m_Error << "daemon " << Daemon.toString() << " did not answer: " << Failure->toString()
                        << "\n";
+      continue;
+    }
+    Answered = true;
   }
   if (!Answered && Failure)
     return m_Publisher.report(*Failure);
+  if (All.m_Decisions.empty())
+    return m_Publisher.report(
+        {ErrorCode::BadFieldValue, "explain request", "", Ran::No,
+         "no instance that answered remembers a decision on request '" + Request + "'"});
   std::stable_sort(
       All.m_Decisions.begin(), All.m_Decisions.end(),
       [](const DecisionRecord &Left, const DecisionRecord &Right) { return Left.m_At < Right.m_At; });
@@ -329,17 +333,24 @@
 
 ExitCode Commands::drainInstance(const std::string &Name,
                                  std::optional<std::uint32_t> DeadlineSeconds) const {
-  const Expected<StatusReply> Status = m_Client.get<StatusReply>(admin_path::Status);
-  if (!Status)
-    return m_Publisher.report(Status.error());
+  // A status does not list the daemon that answers, so each daemon is asked for its own name.
   std::vector<std::string> Known;
   std::optional<Endpoint> Daemon;
-  for (const InstanceStatus &Each : Status->m_Instances) {
-    Known.push_back(Each.m_Instance.value());
-    const Expected<SocketAddress> Address = capture([&] { return parseSocketAddress(Each.m_Admin); });
-    if (Each.m_Instance.value() == Name && Address)
-      Daemon = Endpoint{Address->m_Address, Address->m_Port};
+  std::optional<Error> Failure;
+  for (const Endpoint &Each : m_Client.allDaemons()) {
+    const Expected<StatusReply> Status = m_Client.getFrom<StatusReply>(Each, std::string(admin_path::Status));
+    if (!Status) {
+      Failure = Status.error();
+      continue;
+    }
+    Known.push_back(Status->m_Instance.value());
+    if (Known.back() != Name)
+      continue;
+    Daemon = Each;
+    break;
   }
+  if (!Daemon && Known.empty() && Failure)
+    return m_Publisher.report(*Failure);
   if (!Daemon)
     return m_Publisher.report(unknownName(Name, Known));
   if (m_Options.m_DryRun) {
--- a/packages/client/src/detail/publisher.h
+++ b/packages/client/src/detail/publisher.h
@@ -52,6 +52,7 @@
   Progress follow(const PublishReply &Reply) const;
   void showProgress(const Progress &Before, const Progress &Now, ConfigRevision Revision) const;
   void printResult(const PublishReply &Reply, const PublishId &Id, const Progress &Reached) const;
+  void compareWithWinner(const PublishRequest &Request) const;
   ExitCode printRefusal(const PublishReply &Reply) const;
   std::size_t restrictDaemons(const Restriction &Applied) const;
   std::vector<RestrictionId> findRestrictions(RestrictionKind Kind, const std::string &Target) const;
--- a/packages/client/src/publisher.cpp
+++ b/packages/client/src/publisher.cpp
@@ -36,8 +36,11 @@
   Request.m_Operator = m_Client.options().m_Operator;
   Request.m_DryRun = m_Client.options().m_DryRun;
   const Expected<PublishReply> Reply = m_Client.publish(Request);
-  if (Reply)
+  if (Reply) {
+    if (Reply->m_Outcome == PublishOutcome::Conflict)
+      compareWithWinner(Request);
     return finish(*Reply, Request.m_PublishId);
+  }
   if (Reply.error().m_Ran != Ran::No) {
     *m_Client.hooks().m_Error << "the outcome is unknown; repeat with --publish-id "
                               << Request.m_PublishId.value() << " --base " << Request.m_Base.value() << "\n";
@@ -47,6 +50,17 @@
   return report(Reply.error());
 }
 
+// The daemon lists what the winner changed since the revision that the daemon held, which may be newer than
+// the operator's base. What the operator has to merge is the difference between the two sets.
+void Publisher::compareWithWinner(const PublishRequest &Request) const {
+  const Expected<ConfigReply> Winner = m_Client.get<ConfigReply>(admin_path::Config);
+  if (!Winner)
+    return;
+  const ReadOutcome Own = readDocuments(Request.m_Documents, nullptr);
+  *m_Client.hooks().m_Error << "from revision " << Winner->m_Configuration.m_Revision << " to your set:\n";
+  printChanges(*m_Client.hooks().m_Error, diffConfigurations(Winner->m_Configuration, Own.m_Configuration));
+}
+
 PublishRequest Publisher::requestFor(const Configuration &Base, const Edit &Change,
                                      const Configuration &Target) const {
   PublishRequest Request;
@@ -93,7 +107,7 @@
     Out << Found.toString() << "\n";
   if (Lost) {
     Out << "not published: revision " << Reply.m_Revision << " of " << Reply.m_Winner
-        << " came first. It differs from your base in:\n";
+        << " came first. The winner changed:\n";
     printChanges(Out, Reply.m_Changes);
   } else {
     Out << "not published: " << Reply.m_Faults.size() << " faults\n";
--- a/packages/client/tests/client_test.cpp
+++ b/packages/client/tests/client_test.cpp
@@ -106,6 +106,7 @@
   CHECK(Fleet->run({"publish", "x"}) == ExitCode::Conflict);
   CHECK(has(Fleet->m_Error, "revision 6 of zuzana came first"));
   CHECK(has(Fleet->m_Error, "added team raced"));
+  CHECK(has(Fleet->m_Error, "from revision 6 to your set:\nadded team new-team\n"));
   CHECK(Fleet->run({"publish", "x", "--base", "5"}) == ExitCode::Conflict);
   CHECK(Fleet->m_Published.empty());
 }
@@ -201,7 +202,10 @@
     for (const auto &Entry : Fleet->m_Restrictions)
       CHECK(Entry.second.empty());
   }
-  CHECK(Fleet->run({"drain", "--instance", "daemon-3", "--deadline", "5"}) == ExitCode::Done);
+  CHECK(Fleet->run({"drain", "--instance", "daemon-9"}) == ExitCode::Refused);
+  // Guards against a daemon that cannot be stopped through itself, because its status does not list it.
+  CHECK(Fleet->run({"drain", "--instance", "daemon-1", "--deadline", "5"}) == ExitCode::Done);
+  CHECK(Fleet->m_Drained.front().m_Instance == InstanceId("daemon-1"));
   CHECK(Fleet->m_Drained.front().m_Deadline == std::chrono::seconds(5));
 }
 
@@ -209,6 +213,8 @@
   const std::unique_ptr<FakeFleet> Fleet = makeFleet();
   CHECK(Fleet->run({"explain", "q"}) == ExitCode::Done);
   CHECK(Fleet->m_Out.str().find("daemon-4") < Fleet->m_Out.str().find("daemon-1"));
+  CHECK(Fleet->m_Error.str().empty()); // That a daemon knows nothing of the request is no failure.
+  CHECK(Fleet->run({"explain", "other"}) == ExitCode::Refused);
   CHECK(Fleet->run({"charges", "t"}) == ExitCode::Done);
   CHECK(has(Fleet->m_Out, "total 10 microcents in 2 charges, 4 not yet written"));
   CHECK(Fleet->run({"timeline", "--kind", "lease"}) == ExitCode::Done);
--- a/packages/client/tests/fake_fleet.h
+++ b/packages/client/tests/fake_fleet.h
@@ -105,6 +105,9 @@
   }
 
   static HttpResponse query(std::uint16_t Port, const std::string &Path, const HttpRequest &Request) {
+    // Only daemons 1 and 4 know the request "q".
+    if (Path == admin_path::Explain && (Request.query("request") != "q" || Port == 2 || Port == 3))
+      return failure(404, ErrorCode::ObjectNotFound, Ran::No);
     if (Path == admin_path::Explain)
       return good(ExplainReply{RequestId("q"),
                                {{10 - Port, InstanceId(nameOfPort(Port)), "route", {}, {}, "cheapest"}}});
@@ -162,8 +165,9 @@
     Reply.m_Revision = m_Head.m_Revision;
     Reply.m_Restrictions = m_Restrictions[Port];
     for (std::uint16_t Each = 1; Each <= Ports; ++Each)
-      Reply.m_Instances.push_back({InstanceId(nameOfPort(Each)), DomainId("west-a"),
-                                   "127.0.0.1:" + std::to_string(Each), "live", m_Head.m_Revision});
+      if (Each != Port) // A status does not list the daemon that answers.
+        Reply.m_Instances.push_back({InstanceId(nameOfPort(Each)), DomainId("west-a"),
+                                     "127.0.0.1:" + std::to_string(Each), "live", m_Head.m_Revision});
     return Reply;
   }
 
