protocol: stricter end of the configuration property, forged session tokens

Cause: the mutation token-unsigned handed the test a token that was never changed, so its red said nothing; the configuration property looked up to 18 s after the last fault, where the guarantee says 10 s, and did not look at restrictions. Ruled out: checking only that any changed byte is refused; the new case keeps a valid signature on another payload.

--- a/packages/protocol/tests/config_world.h
+++ b/packages/protocol/tests/config_world.h
@@ -23,7 +23,7 @@
 
 struct ConfigOptions {
   std::size_t m_Instances = 6;
-  Duration m_Length = ms(45'000);
+  Duration m_Length = ms(35'000); ///< 10 s after the last publication; also 10 s after the last fault.
   int m_Publications = 8;
   Duration m_PublishGap = ms(2'500);
   Duration m_FirstPublication = ms(3'000);
@@ -424,6 +424,12 @@
         fault(nameOf(Index).value() +
               " is not ready 10 s after the faults: " + m_Nodes[Index].m_Gate->missing());
     }
+    bool Known = false;
+    for (std::size_t Index = 0; Index < m_Nodes.size(); ++Index)
+      Known =
+          Known || (m_Sim.alive(Index) && m_Nodes[Index].m_Store->restrictions().knows(RestrictionId("r1")));
+    if (Known && !restrictedEverywhere())
+      fault("a restriction is not in force everywhere 10 s after the faults");
     if (m_HighestPublished > Head)
       fault("an accepted revision was lost");
   }
--- a/packages/protocol/tests/session_property_test.cpp
+++ b/packages/protocol/tests/session_property_test.cpp
@@ -117,7 +117,8 @@
   CHECK(rc::check("tokens", [] {
     const SessionTokens Issuer(ring("k1"));
     const SessionTokens Other(ring("k2"));
-    std::string Token = Issuer.issue(Claims);
+    const std::string Issued = Issuer.issue(Claims);
+    std::string Token = Issued;
     const Expected<SessionClaims> Read =
         capture([&] { return Other.verify(Token, TeamId("t"), wall(1'500)); });
     RC_ASSERT(Read.hasValue());
@@ -125,10 +126,16 @@
     const std::size_t Place = *full(rc::gen::inRange<std::size_t>(0, Token.size()));
     const char Character = *rc::gen::distinctFrom(rc::gen::elementOf(std::string("AZaz09-_.")), Token[Place]);
     Token[Place] = Character;
-    if (mutation("token-unsigned"))
-      Token = Issuer.issue(Claims); // As if a changed token were accepted.
     RC_ASSERT(codeOf(capture([&] { return Other.verify(Token, TeamId("t"), wall(1'500)); })) ==
               ErrorCode::SessionTokenInvalid);
+    // A payload that names another version, with the signature of the token that was issued.
+    SessionClaims Changed = Claims;
+    Changed.m_Version = VersionId("v" + std::to_string(*full(rc::gen::inRange(2, 1'000))));
+    std::string Forged = Issuer.issue(Changed);
+    if (!mutation("token-unsigned")) // With it, the signature is as good as not checked.
+      Forged = Forged.substr(0, Forged.rfind('.')) + Issued.substr(Issued.rfind('.'));
+    RC_ASSERT(codeOf(capture([&] { return Other.verify(Forged, TeamId("t"), wall(1'500)); })) ==
+              ErrorCode::SessionTokenInvalid);
   }));
 }
 
