protocol: measure the spread of a revision with the store down from the head write on

Cause: the measuring run took the store down at a fixed time, when the revision had often spread already. Ruled out: a fault plan with an earlier start, because the head row could then not be written in some runs. Conclusion: the outage now starts with the write of the head row.

--- a/packages/protocol/tests/config_world.h
+++ b/packages/protocol/tests/config_world.h
@@ -28,7 +28,8 @@
   Duration m_PublishGap = ms(2'500);
   Duration m_FirstPublication = ms(3'000);
   Duration m_RestrictAt = ms(5'000);
-  Duration m_CountFrom = ms(0); ///< Messages before this time are not counted.
+  bool m_OutageAfterHead = false; ///< The store goes down when the first head row is written.
+  Duration m_CountFrom = ms(0);   ///< Messages before this time are not counted.
 };
 
 /// @brief Daemons that publish, spread and take up configurations and restrictions.
@@ -292,6 +293,7 @@
       fault("the head fell to revision " + std::to_string(Head.m_Revision.value()));
     m_History[Head.m_Revision] = Head.m_Publish.value();
     m_Waiting[Head.m_Revision] = m_Sim.now();
+    m_Sim.m_Outage = m_Options.m_OutageAfterHead;
   }
 
   void restrict() {
