decision: judge by the known load whether the own region is nearly full

The likely load, with the requests that others may have sent, was also used to decide when the other region is compared.

--- a/packages/decision/include/bulrushpitch/decision/router.h
+++ b/packages/decision/include/bulrushpitch/decision/router.h
@@ -151,7 +151,7 @@
     double m_Score = 0.0; ///< Seconds.
     double m_Wait = 0.0;  ///< Seconds until the first token.
     double m_CachedShare = 0.0;
-    double m_Utilisation = 0.0; ///< With the request.
+    double m_Utilisation = 0.0; ///< Known load with the request, as a share of the limit.
   };
   /// What is known of a cascade's step.
   struct StepEstimate {
--- a/packages/decision/src/router.cpp
+++ b/packages/decision/src/router.cpp
@@ -462,7 +462,7 @@
     return Obstacle::Deadline;
   // Reports lag, so a nearly full upstream may be full by now. The cube leaves lightly loaded ones equal.
   const double Pressure = m_Settings.m_Pressure * Utilisation * Utilisation * Utilisation;
-  m_Scored.push_back({Upstream, Whole + Pressure, Wait, Cached, Utilisation});
+  m_Scored.push_back({Upstream, Whole + Pressure, Wait, Cached, (Load + 1.0) / Limit});
   return Obstacle::None;
 }
 
