--- a/packages/protocol/tests/claim_world.h
+++ b/packages/protocol/tests/claim_world.h
@@ -32,7 +32,10 @@
     for (const Fault &One : m_Sim.plan().m_Faults)
       if (One.m_Kind == FaultKind::Kill) {
         const std::size_t Target = One.m_Target % Instances;
-        m_Sim.at(TimePoint(ms(One.m_StartMs)), [this, Target] { m_Sim.restarted(Target); });
+        m_Sim.at(TimePoint(ms(One.m_StartMs)), [this, Target] {
+          m_Sim.restarted(Target);
+          m_Claims[Target].reset();
+        });
         m_Sim.at(TimePoint(ms(One.m_StartMs + One.m_LengthMs) + ms(1)), [this, Target] {
           if (m_Sim.alive(Target))
             start(Target);
@@ -67,7 +70,7 @@
     if (Try > 6)
       return;
     const std::size_t Index = m_Sim.below(Instances);
-    if (!m_Sim.alive(Index) || m_Sim.frozen(Index)) {
+    if (!m_Sim.alive(Index) || m_Sim.frozen(Index) || !m_Claims[Index]) {
       m_Sim.after(m_Sim.between(50, 2'000), [this, Request, Try] { attempt(Request, Try + 1); });
       return;
     }
