Client: do not publish a restriction's change while no daemon reaches the store

Ruled out: a shorter timeout, which would turn a slow store into an unknown outcome. Conclusion: a test counts that no publication is sent while the store is down.

--- a/packages/client/src/detail/publisher.h
+++ b/packages/client/src/detail/publisher.h
@@ -55,6 +55,8 @@
   void compareWithWinner(const PublishRequest &Request) const;
   ExitCode printRefusal(const PublishReply &Reply) const;
   std::size_t restrictDaemons(const Restriction &Applied) const;
+  /// @return whether one of the daemons given says that it reaches the store
+  bool storeReachable() const;
   std::vector<RestrictionId> findRestrictions(RestrictionKind Kind, const std::string &Target) const;
 
   const AdminClient &m_Client;
--- a/packages/client/src/publisher.cpp
+++ b/packages/client/src/publisher.cpp
@@ -223,7 +223,8 @@
   const std::size_t Accepted = restrictDaemons(Applied);
   if (Accepted == 0)
     return report({ErrorCode::PeerUnreachable, "restrict", "", Ran::No, "no daemon took the restriction"});
-  const ExitCode Published = publishEdit(Change);
+  // A daemon that cannot reach the store takes seconds to say so, and the restriction holds already.
+  const ExitCode Published = storeReachable() ? publishEdit(Change) : ExitCode::Unreachable;
   if (Published == ExitCode::Done || Published == ExitCode::NotInForce ||
       Published == ExitCode::OutcomeUnknown)
     return Published;
@@ -233,6 +234,16 @@
   return ExitCode::OnlyRestricted;
 }
 
+bool Publisher::storeReachable() const {
+  for (const Endpoint &Daemon : m_Client.options().m_Daemons) {
+    const Expected<StatusReply> Status =
+        m_Client.getFrom<StatusReply>(Daemon, std::string(admin_path::Status));
+    if (Status && Status->m_StoreReachable)
+      return true;
+  }
+  return false;
+}
+
 std::vector<RestrictionId> Publisher::findRestrictions(RestrictionKind Kind,
                                                        const std::string &Target) const {
   std::set<RestrictionId> Found;
--- a/packages/client/tests/client_test.cpp
+++ b/packages/client/tests/client_test.cpp
@@ -142,6 +142,7 @@
     std::vector<std::string> Command = Each.m_Command;
     Command.push_back(Each.m_Target);
     CHECK(Fleet->run(Command) == ExitCode::OnlyRestricted);
+    CHECK(Fleet->m_PublishCalls == 0); // Each such call would take seconds.
     // Daemon 2 is dead: the restriction goes to the three others, which the status lists.
     CHECK(Fleet->m_Restrictions.size() == 3);
     CHECK(Fleet->m_Restrictions[4].front().m_Kind == Each.m_Kind);
--- a/packages/client/tests/fake_fleet.h
+++ b/packages/client/tests/fake_fleet.h
@@ -18,6 +18,7 @@
 public:
   Configuration m_Head;
   bool m_StoreDown = false;
+  int m_PublishCalls = 0;
   int m_LoseAnswers = 0;                 ///< Publications that take effect, but whose answer is lost.
   std::set<std::uint16_t> m_Dead;        ///< Ports that refuse connections.
   std::set<std::uint16_t> m_Behind;      ///< Ports of daemons that never confirm a revision.
@@ -127,6 +128,7 @@
   Expected<HttpResponse> publish(const PublishRequest &Request) {
     if (const std::function<void()> Before = std::exchange(m_BeforePublish, nullptr))
       Before();
+    ++m_PublishCalls;
     if (m_StoreDown)
       return failure(503, ErrorCode::PlatformUnavailable, Ran::No);
     const auto Earlier = m_Outcomes.find(Request.m_PublishId);
@@ -164,6 +166,7 @@
     Reply.m_Instance = InstanceId(nameOfPort(Port));
     Reply.m_Revision = m_Head.m_Revision;
     Reply.m_Restrictions = m_Restrictions[Port];
+    Reply.m_StoreReachable = !m_StoreDown;
     for (std::uint16_t Each = 1; Each <= Ports; ++Each)
       if (Each != Port) // A status does not list the daemon that answers.
         Reply.m_Instances.push_back({InstanceId(nameOfPort(Each)), DomainId("west-a"),
