daemon: answer a repeated publish id with the first outcome; wake several queued requests

Cause: a repeated publication was checked against the newer base first, so that it could come back as refused although it had been published; one queued request was woken at a time, and it may want a version that is still full; a starting daemon did not ask the members it had not heard, which condition (ii) of the startup gate needs. Ruled out: keeping finished publications in memory, because the repeat may reach another daemon.

--- a/packages/daemon/include/bulrushpitch/daemon/cluster_service.h
+++ b/packages/daemon/include/bulrushpitch/daemon/cluster_service.h
@@ -48,6 +48,8 @@
   /// @return the configuration with the restrictions in force applied
   std::shared_ptr<const Configuration> effective() const { return m_Store.effective(); }
   const ConfigStore &store() const { return m_Store; }
+  /// @return a recent revision, or null if it is no longer held
+  std::shared_ptr<const Configuration> at(ConfigRevision Revision) const;
   Membership &membership() { return m_Membership; }
   const InstanceId &self() const { return m_Self; }
   std::uint64_t incarnation() const { return m_Membership.incarnation(); }
--- a/packages/daemon/include/bulrushpitch/daemon/publication_service.h
+++ b/packages/daemon/include/bulrushpitch/daemon/publication_service.h
@@ -52,6 +52,7 @@
   void execute(const RunningPtr &Target, const InstallRevision &Action);
   boost::asio::awaitable<void> put(RunningPtr Target, PutObject Action);
   boost::asio::awaitable<PublishStatus> waitFor(RunningPtr Target);
+  boost::asio::awaitable<Expected<std::optional<PublishReply>>> findEarlier(const PublishRequest &Request);
   boost::asio::awaitable<std::string> winnerOf(ConfigRevision Revision);
   void tick();
 
--- a/packages/daemon/src/cluster_service.cpp
+++ b/packages/daemon/src/cluster_service.cpp
@@ -93,6 +93,13 @@
   return std::nullopt;
 }
 
+std::shared_ptr<const Configuration> ClusterService::at(ConfigRevision Revision) const {
+  if (Revision == m_Store.revision())
+    return m_Store.current();
+  const auto Found = m_Recent.find(Revision);
+  return Found == m_Recent.end() ? nullptr : Found->second;
+}
+
 std::optional<Endpoint> ClusterService::addressOf(const InstanceId &Id) const {
   const auto Found = m_Rpc.find(Id);
   return Found == m_Rpc.end() ? std::nullopt : std::optional<Endpoint>(Found->second);
@@ -349,6 +356,8 @@
   const TimePoint Now = m_Runtime.m_Clock();
   m_Gate.listed(Now, Members);
   run(m_Membership.listed(Now, Members));
+  if (!m_Gate.ready())
+    run(m_Membership.askUnheard(Now));
   for (const ListHook &Hook : m_OnList)
     Hook(*List);
 }
--- a/packages/daemon/src/model_service.cpp
+++ b/packages/daemon/src/model_service.cpp
@@ -468,7 +468,7 @@
         MicroCents(Used.m_PromptPrice.value() * static_cast<std::int64_t>(m_PromptTokens.value()) +
                    Used.m_CompletionPrice.value() * static_cast<std::int64_t>(m_CompletionTokens.value()));
   }
-  ++m_Route.m_CascadeStep;
+  m_Route.m_CascadeStep = m_Decision.m_NextCascadeStep;
   m_Text.clear();
   m_Assembler.reset();
   m_CompletionTokens = Tokens();
--- a/packages/daemon/src/publication_service.cpp
+++ b/packages/daemon/src/publication_service.cpp
@@ -147,7 +147,15 @@
 asio::awaitable<Expected<PublishReply>> PublicationService::publish(PublishRequest Request) {
   if (m_Cluster.store().revision() < Request.m_Base)
     static_cast<void>(co_await m_Cluster.pollHead());
-  const std::shared_ptr<const Configuration> Base = m_Cluster.store().current();
+  // A repeated request must get the first answer, also if the set would be refused against the newer base.
+  Expected<std::optional<PublishReply>> Earlier = co_await findEarlier(Request);
+  if (!Earlier)
+    co_return Earlier.error();
+  if (*Earlier)
+    co_return **Earlier;
+  std::shared_ptr<const Configuration> Base = m_Cluster.at(Request.m_Base);
+  if (!Base)
+    Base = m_Cluster.store().current();
   PublishReply Reply;
   Reply.m_Revision = Request.m_Base;
   ReadOutcome Read = readDocuments(Request.m_Documents, Base.get());
@@ -219,6 +227,24 @@
   co_return Reply;
 }
 
+asio::awaitable<Expected<std::optional<PublishReply>>> PublicationService::findEarlier(const PublishRequest &Request) {
+  if (Request.m_DryRun || m_Running.contains(Request.m_PublishId))
+    co_return std::optional<PublishReply>();
+  Expected<std::optional<Row>> Read = co_await m_Rows.get(publishKey(Request.m_PublishId));
+  if (!Read)
+    co_return Read.error();
+  if (!*Read)
+    co_return std::optional<PublishReply>();
+  PublishReply Reply;
+  Reply.m_Revision = Request.m_Base + ConfigRevision(1);
+  static_cast<void>(co_await m_Cluster.pollHead());
+  bool HasCopy = false;
+  for (const ConfirmedRevision &Entry : m_Cluster.membership().confirmedRevisions())
+    HasCopy = HasCopy || (Entry.m_Revision >= Reply.m_Revision && Entry.m_Domain != m_Runtime.m_Settings.m_Domain);
+  Reply.m_Outcome = HasCopy ? PublishOutcome::Published : PublishOutcome::SingleCopy;
+  co_return std::optional<PublishReply>(std::move(Reply));
+}
+
 asio::awaitable<std::string> PublicationService::winnerOf(ConfigRevision Revision) {
   static_cast<void>(co_await m_Cluster.pollHead());
   Expected<HistoryEntry> Entry = co_await historyEntry(Revision);
--- a/packages/daemon/src/routing_service.cpp
+++ b/packages/daemon/src/routing_service.cpp
@@ -19,6 +19,7 @@
 /// Beyond this many engines for a version, a daemon works with a subset, so that load polls and connections
 /// stay bounded when there are hundreds of both (design 3.13).
 constexpr std::size_t EnginesPerVersion = 24;
+constexpr std::size_t WokenAtOnce = 8;
 constexpr Duration UsualTokenGap = std::chrono::milliseconds(20);
 constexpr Duration UnreachableFor = std::chrono::seconds(2);
 
@@ -221,10 +222,15 @@
   for (const RefusedRequest &Refused : m_Queue.takeRefused(Now))
     if (const auto Found = m_Waiting.find(Refused.m_Request.m_Ticket); Found != m_Waiting.end())
       Found->second->m_Turn.set(Refused.m_Reason);
-  // One request for each call: it decides at once whether there is room, and the next call sees the outcome.
-  if (const std::optional<QueuedRequest> Next = m_Queue.take(Now))
+  // Several requests are woken, since the first may want a version that is still full. Those that find no room
+  // keep their place.
+  for (std::size_t Woken = 0; Woken < WokenAtOnce; ++Woken) {
+    const std::optional<QueuedRequest> Next = m_Queue.take(Now);
+    if (!Next)
+      return;
     if (const auto Found = m_Waiting.find(Next->m_Ticket); Found != m_Waiting.end())
       Found->second->m_Turn.set(Done{});
+  }
 }
 
 } // namespace bulrushpitch
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -136,7 +136,7 @@
 start_ampara_upstreams() {
   start_engines pitch-llm-west-a 21001 8 west-a --versions "$AMPARA_VERSIONS" "$@"
   start_engines pitch-llm-west-b 21009 7 west-b --versions "$AMPARA_VERSIONS" "$@"
-  start_engines pitch-llm-hill-a 21016 4 hill-a --versions "$AMPARA_VERSIONS" "$@"
+  start_engines pitch-llm-hill-a 21016 5 hill-a --versions "$AMPARA_VERSIONS" "$@"
   start till "$BUILD/packages/standin/bulrushpitch-standin" service --port 21101 --count 3 --name till \
     --domains west-a,west-b,hill-a --platform "$PLATFORM" --warm
   wait_for 10 curl -sf http://127.0.0.1:21101/load
