client: draw the time line; charges carry their time

Cause: the operators' picture of the time line existed in the package but no command drew it; the list of charges showed 1970, because the row had no time.

--- a/packages/client/src/admin_client.cpp
+++ b/packages/client/src/admin_client.cpp
@@ -34,6 +34,20 @@
   return m_Hooks.m_Send(Daemon, Request, m_Options.m_Timeout);
 }
 
+Expected<std::string> AdminClient::getText(const std::string &Target) const {
+  Error Last{ErrorCode::PeerUnreachable, "ask daemon", "", Ran::No, "no daemon is given; use --daemon"};
+  const HttpRequest Request = makeGet(Target);
+  for (const Endpoint &Daemon : m_Options.m_Daemons) {
+    const Expected<HttpResponse> Response = send(Daemon, Request);
+    if (Response && Response->m_Status == 200)
+      return Response->m_Body;
+    Last = Response ? errorOf(Daemon, *Response) : Response.error();
+    if (!mayTryNext(Last))
+      break;
+  }
+  return Last;
+}
+
 Error AdminClient::errorOf(const Endpoint &Daemon, const HttpResponse &Response) {
   Error Failure = decodeError(Response.m_Body);
   if (Failure.m_Peer.empty())
--- a/packages/client/src/client.cpp
+++ b/packages/client/src/client.cpp
@@ -110,13 +110,18 @@
         ->add_option("team", m_Name, "Team")
         ->required();
     CLI::App *Timeline = command(m_App, "timeline", "List events in causal order", true,
-                                 [this] { return m_Commands.timeline(m_Query); });
+                                 [this] { return m_Commands.timeline(m_Query, m_Timeline); });
     Timeline->add_option_function<std::uint64_t>(
         "--after", [this](const std::uint64_t &After) { m_Query.m_After = LamportTime(After); },
         "Only events after this Lamport time");
     Timeline->add_option("--kind", m_Query.m_Kind, "Only events of this kind");
     Timeline->add_option("--subject", m_Query.m_Subject, "Only events on this subject");
     Timeline->add_option("--limit", m_Query.m_Limit, "Events to list");
+    Timeline->add_option("--request", m_Timeline.m_Request, "Only events of this request");
+    Timeline->add_option("--upstream", m_Timeline.m_Upstream, "Only events of this upstream");
+    Timeline->add_option("--domain", m_Timeline.m_Domain, "Only events of this failure domain");
+    Timeline->add_option("--revision", m_Timeline.m_Revision, "Only events of this revision");
+    Timeline->add_option("--svg", m_Timeline.m_Svg, "Draw a picture into this file");
     Timeline->add_flag("--all", m_Query.m_AllInstances, "Events of all instances");
   }
 
@@ -212,6 +217,7 @@
   std::string m_Name;
   std::uint32_t m_Limit = 20;
   TimelineQuery m_Query;
+  detail::TimelineOptions m_Timeline;
   RolloutOptions m_Rollout;
   bool m_IsInstance = false;
   std::optional<std::uint32_t> m_DeadlineSeconds;
--- a/packages/client/src/commands.cpp
+++ b/packages/client/src/commands.cpp
@@ -1,5 +1,10 @@
 #include "detail/commands.h"
 
+#include "bulrushpitch/timeline/timeline.h"
+
+#include <fstream>
+#include <map>
+
 #include "detail/output.h"
 
 #include <algorithm>
@@ -221,8 +226,19 @@
   return ExitCode::Done;
 }
 
-ExitCode Commands::timeline(const TimelineQuery &Query) const {
-  const Expected<TimelineReply> Answer = m_Client.get<TimelineReply>(Query.target());
+ExitCode Commands::timeline(const TimelineQuery &Query, const TimelineOptions &More) const {
+  std::string Target = Query.target();
+  std::string Filter = adminTarget("", {{"request", More.m_Request},
+                                        {"upstream", More.m_Upstream},
+                                        {"domain", More.m_Domain},
+                                        {"revision", More.m_Revision},
+                                        {"format", More.m_Svg.empty() ? "" : "events"}});
+  if (!Filter.empty() && Target.find('?') != std::string::npos)
+    Filter.front() = '&';
+  Target += Filter;
+  if (!More.m_Svg.empty())
+    return drawTimeline(Target, More);
+  const Expected<TimelineReply> Answer = m_Client.get<TimelineReply>(Target);
   if (!Answer)
     return m_Publisher.report(Answer.error());
   if (m_Options.m_Json)
@@ -239,6 +255,28 @@
   return ExitCode::Done;
 }
 
+ExitCode Commands::drawTimeline(const std::string &Target, const TimelineOptions &More) const {
+  const Expected<std::string> Text = m_Client.getText(Target);
+  if (!Text)
+    return m_Publisher.report(Text.error());
+  const Expected<std::vector<TimelineEvent>> Events = capture([&] { return eventsFromJson(*Text); });
+  if (!Events)
+    return m_Publisher.report(Events.error());
+  std::map<InstanceId, std::vector<TimelineEvent>> ByInstance;
+  for (const TimelineEvent &Event : *Events)
+    ByInstance[Event.m_Instance].push_back(Event);
+  std::vector<std::vector<TimelineEvent>> Lists;
+  for (std::pair<const InstanceId, std::vector<TimelineEvent>> &Entry : ByInstance)
+    Lists.push_back(std::move(Entry.second));
+  std::ofstream File(More.m_Svg);
+  File << renderSvg(mergeTimelines(Lists));
+  if (!File.flush())
+    return m_Publisher.report(
+        Error{ErrorCode::BadFieldValue, "write picture", "", Ran::No, "cannot write " + More.m_Svg});
+  *m_Hooks.m_Out << "wrote " << Events->size() << " events to " << More.m_Svg << "\n";
+  return ExitCode::Done;
+}
+
 ExitCode Commands::charges(const std::string &Team) const {
   ChargesReply All;
   All.m_Team = TeamId(Team);
--- a/packages/client/src/detail/admin_client.h
+++ b/packages/client/src/detail/admin_client.h
@@ -33,6 +33,10 @@
     return first<Reply>(makeGet(adminTarget(Path, Parameters)));
   }
 
+  /// @brief Asks the daemons in their order until one answers.
+  /// @return the body of the answer as it is
+  Expected<std::string> getText(const std::string &Target) const;
+
   /// @brief Asks one daemon.
   template <typename Reply> Expected<Reply> getFrom(const Endpoint &Daemon, const std::string &Target) const {
     return decode<Reply>(Daemon, send(Daemon, makeGet(Target)));
--- a/packages/client/src/detail/commands.h
+++ b/packages/client/src/detail/commands.h
@@ -19,6 +19,15 @@
   std::optional<double> m_Share;
 };
 
+/// @brief Options of `timeline` beside the query's own fields.
+struct TimelineOptions {
+  std::string m_Request;
+  std::string m_Upstream;
+  std::string m_Domain;
+  std::string m_Revision;
+  std::string m_Svg; ///< File for a picture; no picture if empty.
+};
+
 /// @brief The commands, each of which prints its result and returns the exit code.
 class Commands {
 public:
@@ -32,7 +41,7 @@
   ExitCode history(std::uint32_t Limit) const;
   ExitCode status() const;
   ExitCode explain(const std::string &Request) const;
-  ExitCode timeline(const TimelineQuery &Query) const;
+  ExitCode timeline(const TimelineQuery &Query, const TimelineOptions &More) const;
   ExitCode charges(const std::string &Team) const;
   ExitCode restrict(RestrictionKind Kind, const std::string &Target) const;
   ExitCode bringBack(const std::string &Target) const;
@@ -41,6 +50,7 @@
   ExitCode drainInstance(const std::string &Name, std::optional<std::uint32_t> DeadlineSeconds) const;
 
 private:
+  ExitCode drawTimeline(const std::string &Target, const TimelineOptions &More) const;
   /// Reads a set and checks it against the published configuration, if a daemon is given.
   std::optional<ReadOutcome> readSet(const std::vector<std::string> &Paths, std::vector<DocumentFile> &Files,
                                      std::optional<ConfigReply> &Base, ExitCode &Code) const;
--- a/packages/daemon/src/call_service.cpp
+++ b/packages/daemon/src/call_service.cpp
@@ -208,6 +208,7 @@
   Added.m_Attempt = m_Parts.m_Models.newAttempt();
   Added.m_Target = Call.m_Service.value() + "/" + Call.m_Route.m_Name;
   Added.m_Amount = Call.m_Route.m_Price;
+  Added.m_At = m_Runtime.m_WallClock().time_since_epoch().count();
   Expected<Done> Charged = co_await m_Parts.m_Billing.charge(std::move(Added), ChargeTimeout);
   if (!Charged)
     co_return Charged.error();
--- a/packages/daemon/src/model_service.cpp
+++ b/packages/daemon/src/model_service.cpp
@@ -526,6 +526,7 @@
   Added.m_Amount = m_Amount;
   Added.m_Prompt = m_PromptTokens;
   Added.m_Completion = m_CompletionTokens;
+  Added.m_At = m_Owner.m_Runtime.m_WallClock().time_since_epoch().count();
   Expected<Done> Charged = co_await m_Parts.m_Billing.charge(std::move(Added), ChargeTimeout);
   if (!Charged)
     co_return Charged;
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -333,6 +333,7 @@
     Record.m_Subject = Stored->m_Target;
     Record.m_PromptTokens = Stored->m_Prompt;
     Record.m_CompletionTokens = Stored->m_Completion;
+    Record.m_At = Stored->m_At;
     Reply.m_Total += Stored->m_Amount;
     Reply.m_Charges.push_back(std::move(Record));
   }
--- a/packages/daemon/src/publication_service.cpp
+++ b/packages/daemon/src/publication_service.cpp
@@ -227,7 +227,8 @@
   co_return Reply;
 }
 
-asio::awaitable<Expected<std::optional<PublishReply>>> PublicationService::findEarlier(const PublishRequest &Request) {
+asio::awaitable<Expected<std::optional<PublishReply>>>
+PublicationService::findEarlier(const PublishRequest &Request) {
   if (Request.m_DryRun || m_Running.contains(Request.m_PublishId))
     co_return std::optional<PublishReply>();
   Expected<std::optional<Row>> Read = co_await m_Rows.get(publishKey(Request.m_PublishId));
@@ -240,7 +241,8 @@
   static_cast<void>(co_await m_Cluster.pollHead());
   bool HasCopy = false;
   for (const ConfirmedRevision &Entry : m_Cluster.membership().confirmedRevisions())
-    HasCopy = HasCopy || (Entry.m_Revision >= Reply.m_Revision && Entry.m_Domain != m_Runtime.m_Settings.m_Domain);
+    HasCopy =
+        HasCopy || (Entry.m_Revision >= Reply.m_Revision && Entry.m_Domain != m_Runtime.m_Settings.m_Domain);
   Reply.m_Outcome = HasCopy ? PublishOutcome::Published : PublishOutcome::SingleCopy;
   co_return std::optional<PublishReply>(std::move(Reply));
 }
--- a/packages/daemon/src/routing_service.cpp
+++ b/packages/daemon/src/routing_service.cpp
@@ -222,8 +222,8 @@
   for (const RefusedRequest &Refused : m_Queue.takeRefused(Now))
     if (const auto Found = m_Waiting.find(Refused.m_Request.m_Ticket); Found != m_Waiting.end())
       Found->second->m_Turn.set(Refused.m_Reason);
-  // Several requests are woken, since the first may want a version that is still full. Those that find no room
-  // keep their place.
+  // Several requests are woken, since the first may want a version that is still full. Those that find no
+  // room keep their place.
   for (std::size_t Woken = 0; Woken < WokenAtOnce; ++Woken) {
     const std::optional<QueuedRequest> Next = m_Queue.take(Now);
     if (!Next)
--- a/packages/protocol/include/bulrushpitch/protocol/charge_ledger.h
+++ b/packages/protocol/include/bulrushpitch/protocol/charge_ledger.h
@@ -24,6 +24,7 @@
   MicroCents m_Amount;
   Tokens m_Prompt;
   Tokens m_Completion;
+  std::int64_t m_At = 0; ///< Milliseconds since 1970, at the answer's end.
   bool operator==(const Charge &) const = default;
 };
 std::string chargeKey(const TeamId &Team, const RequestId &Request);
--- a/packages/protocol/src/charge_ledger.cpp
+++ b/packages/protocol/src/charge_ledger.cpp
@@ -33,7 +33,8 @@
               {"target", Value.m_Target},
               {"microcents", Value.m_Amount.value()},
               {"prompt", Value.m_Prompt.value()},
-              {"completion", Value.m_Completion.value()}}
+              {"completion", Value.m_Completion.value()},
+              {"at", Value.m_At}}
       .dump();
 }
 
@@ -45,7 +46,8 @@
                   From.at("target").get<std::string>(),
                   MicroCents(From.at("microcents").get<std::int64_t>()),
                   Tokens(From.at("prompt").get<std::uint64_t>()),
-                  Tokens(From.at("completion").get<std::uint64_t>())};
+                  Tokens(From.at("completion").get<std::uint64_t>()),
+                  From.at("at").get<std::int64_t>()};
   });
 }
 
