net: do not free the error of an idle connection twice

Cause: g++ 12 destroys an aggregate that is a temporary of a co_await expression twice. Before: the new test case aborts (SIGABRT). After: errors 108 and 107 arrive and the server goes on. Also: a request that finds no free permit waits 100 ms to 1 s between rounds; one had asked 419 times in 5 s.

--- a/packages/daemon/src/model_service.cpp
+++ b/packages/daemon/src/model_service.cpp
@@ -17,7 +17,10 @@
 constexpr Duration StallTimeout = std::chrono::seconds(5);
 constexpr Duration ChargeTimeout = std::chrono::seconds(10);
 constexpr Duration CancelTimeout = std::chrono::seconds(1);
-constexpr Duration PermitRetry = std::chrono::milliseconds(100);
+/// Waits when no permitted upstream has a free permit: without them a request before the first lease asked for
+/// 419 permits in five seconds.
+constexpr Duration FirstPermitWait = std::chrono::milliseconds(100);
+constexpr Duration LongestPermitWait = std::chrono::seconds(1);
 constexpr int MaxResumesPerAttempt = 2;
 constexpr std::uint64_t BytesPerToken = 4;
 constexpr std::uint64_t UsualAnswerTokens = 128;
@@ -196,13 +199,15 @@
 
 asio::awaitable<Expected<Done>> ModelService::Exchange::answerStep() {
   std::optional<Error> Last;
+  Duration PermitWait = FirstPermitWait;
   while (true) {
     Expected<RouteDecision> Decision = co_await m_Parts.m_Routing.decide(m_Route);
     if (!Decision) {
       // Upstreams without a free permit are only excluded for the moment.
-      if (!m_WithoutPermit.empty() && left() > PermitRetry &&
+      if (!m_WithoutPermit.empty() && left() > PermitWait &&
           Decision.error().m_Code == ErrorCode::NoUpstream) {
-        co_await sleepFor(m_Owner.m_Runtime.m_Context, PermitRetry);
+        co_await sleepFor(m_Owner.m_Runtime.m_Context, PermitWait);
+        PermitWait = std::min(PermitWait * 2, LongestPermitWait);
         std::erase_if(m_Route.m_Excluded, [this](const UpstreamId &Id) {
           return std::find(m_WithoutPermit.begin(), m_WithoutPermit.end(), Id) != m_WithoutPermit.end();
         });
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -235,11 +235,12 @@
     m_Idle.erase(&Connection);
     Buffer.commit(Size);
     Connection.disarm();
-    if (Connection.m_Expired)
-      co_await refuse(Connection,
-                      Error{ErrorCode::IdleTimeout, "read request", Peer, Ran::No,
-                            "no request arrived within the idle timeout"},
-                      Peer);
+    if (Connection.m_Expired) {
+      // A local, because g++ 12 destroys an Error{...} twice that is a temporary of the co_await expression.
+      const Error Idle{ErrorCode::IdleTimeout, "read request", Peer, Ran::No,
+                       "no request arrived within the idle timeout"};
+      co_await refuse(Connection, Idle, Peer);
+    }
     co_return !Code;
   }
 
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -65,11 +65,12 @@
   }
 
   /// Sends raw bytes and returns what comes back until the server closes.
-  std::string raw(const std::string &Bytes) {
+  std::string raw(const std::string &Bytes, bool EndsSending = true) {
     asio::ip::tcp::socket Socket(m_Context);
     Socket.connect({asio::ip::make_address("127.0.0.1"), m_Server.address().m_Port});
     asio::write(Socket, asio::buffer(Bytes));
-    Socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    if (EndsSending)
+      Socket.shutdown(asio::ip::tcp::socket::shutdown_send);
     std::string Answer;
     bool Ended = false;
     asio::async_read(Socket, asio::dynamic_buffer(Answer),
@@ -120,6 +121,18 @@
   CHECK(Test.raw("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'a')).ends_with("104"));
 }
 
+// The idle timeout's error was a temporary of a co_await expression, which g++ 12 destroys twice: a connection
+// that was idle for a minute ended the process.
+TEST_CASE("idle and slow clients get their errors and the server goes on") {
+  ServerLimits Limits;
+  Limits.m_ReadTimeout = std::chrono::milliseconds(300);
+  Limits.m_IdleTimeout = std::chrono::milliseconds(300);
+  Fixture Test(Limits);
+  CHECK(Test.raw("", false).ends_with("108"));
+  CHECK(Test.raw("GET / HTTP/1.1\r\nX", false).ends_with("107"));
+  CHECK(Test.exchange("/", "alive", std::chrono::seconds(2))->m_Body == "alive");
+}
+
 TEST_CASE("random bytes do not end the server") {
   Fixture Test;
   std::mt19937 Random(1);
