Daemon: do not free the error of a resume twice

Cause: runResumed passed an Error{...} as a temporary of the co_await expression. g++ 12 copied the temporary bit by bit into the coroutine frame, and its destructor freed a string's inline buffer: SIGSEGV in free, called from runResumed, on every resume at another daemon. Ruled out: the engine's answer (the stream was reopened and read to its end before the crash). After: the joined text equals the whole answer. Conclusion: the error is a named local; no other co_await in packages has an Error temporary.

--- a/packages/daemon/src/model_service.cpp
+++ b/packages/daemon/src/model_service.cpp
@@ -560,9 +560,10 @@
   if (Address) {
     const AttemptId Attempt = m_Owner.newAttempt();
     m_Assembler.emplace(Attempt, Offset);
-    Expected<Done> Opened =
-        co_await reopen(*Address, Error{ErrorCode::StreamLost, "resume stream", Claims.m_Upstream.value(),
-                                        Ran::Yes, "the engine does not know the stream any more"});
+    // A local, because g++ 12 destroys an Error{...} twice that is a temporary of the co_await expression.
+    const Error Unknown{ErrorCode::StreamLost, "resume stream", Claims.m_Upstream.value(), Ran::Yes,
+                        "the engine does not know the stream any more"};
+    Expected<Done> Opened = co_await reopen(*Address, Unknown);
     Outcome = Opened;
     if (Opened)
       Outcome = co_await readFrames(Attempt, *Address);
