--- a/packages/daemon/src/model_service.cpp
+++ b/packages/daemon/src/model_service.cpp
@@ -17,7 +17,10 @@
 constexpr Duration StallTimeout = std::chrono::seconds(5);
 constexpr Duration ChargeTimeout = std::chrono::seconds(10);
 constexpr Duration CancelTimeout = std::chrono::seconds(1);
-constexpr Duration PermitRetry = std::chrono::milliseconds(100);
+/// Waits when no permitted upstream has a free permit: without them a request before the first lease asked for
+/// 419 permits in five seconds.
+constexpr Duration FirstPermitWait = std::chrono::milliseconds(100);
+constexpr Duration LongestPermitWait = std::chrono::seconds(1);
 constexpr int MaxResumesPerAttempt = 2;
 constexpr std::uint64_t BytesPerToken = 4;
 constexpr std::uint64_t UsualAnswerTokens = 128;
@@ -196,13 +199,15 @@
 
 asio::awaitable<Expected<Done>> ModelService::Exchange::answerStep() {
   std::optional<Error> Last;
+  Duration PermitWait = FirstPermitWait;
   while (true) {
     Expected<RouteDecision> Decision = co_await m_Parts.m_Routing.decide(m_Route);
     if (!Decision) {
       // Upstreams without a free permit are only excluded for the moment.
-      if (!m_WithoutPermit.empty() && left() > PermitRetry &&
+      if (!m_WithoutPermit.empty() && left() > PermitWait &&
           Decision.error().m_Code == ErrorCode::NoUpstream) {
-        co_await sleepFor(m_Owner.m_Runtime.m_Context, PermitRetry);
+        co_await sleepFor(m_Owner.m_Runtime.m_Context, PermitWait);
+        PermitWait = std::min(PermitWait * 2, LongestPermitWait);
         std::erase_if(m_Route.m_Excluded, [this](const UpstreamId &Id) {
           return std::find(m_WithoutPermit.begin(), m_WithoutPermit.end(), Id) != m_WithoutPermit.end();
         });
@@ -468,7 +473,7 @@
         MicroCents(Used.m_PromptPrice.value() * static_cast<std::int64_t>(m_PromptTokens.value()) +
                    Used.m_CompletionPrice.value() * static_cast<std::int64_t>(m_CompletionTokens.value()));
   }
-  ++m_Route.m_CascadeStep;
+  m_Route.m_CascadeStep = m_Decision.m_NextCascadeStep;
   m_Text.clear();
   m_Assembler.reset();
   m_CompletionTokens = Tokens();
@@ -526,6 +531,7 @@
   Added.m_Amount = m_Amount;
   Added.m_Prompt = m_PromptTokens;
   Added.m_Completion = m_CompletionTokens;
+  Added.m_At = m_Owner.m_Runtime.m_WallClock().time_since_epoch().count();
   Expected<Done> Charged = co_await m_Parts.m_Billing.charge(std::move(Added), ChargeTimeout);
   if (!Charged)
     co_return Charged;
@@ -560,9 +566,10 @@
   if (Address) {
     const AttemptId Attempt = m_Owner.newAttempt();
     m_Assembler.emplace(Attempt, Offset);
-    Expected<Done> Opened =
-        co_await reopen(*Address, Error{ErrorCode::StreamLost, "resume stream", Claims.m_Upstream.value(),
-                                        Ran::Yes, "the engine does not know the stream any more"});
+    // A local, because g++ 12 destroys an Error{...} twice that is a temporary of the co_await expression.
+    const Error Unknown{ErrorCode::StreamLost, "resume stream", Claims.m_Upstream.value(), Ran::Yes,
+                        "the engine does not know the stream any more"};
+    Expected<Done> Opened = co_await reopen(*Address, Unknown);
     Outcome = Opened;
     if (Opened)
       Outcome = co_await readFrames(Attempt, *Address);
--- a/packages/daemon/src/routing_service.cpp
+++ b/packages/daemon/src/routing_service.cpp
@@ -19,7 +19,11 @@
 /// Beyond this many engines for a version, a daemon works with a subset, so that load polls and connections
 /// stay bounded when there are hundreds of both (design 3.13).
 constexpr std::size_t EnginesPerVersion = 24;
+constexpr std::size_t WokenAtOnce = 8;
 constexpr Duration UsualTokenGap = std::chrono::milliseconds(20);
+/// A poll costs about 0.04 ms of processor time at each end. With more upstreams than this a daemon polls them in
+/// turn, but for those of the shards that it owns, whose permits depend on fresh reports.
+constexpr double PollsPerSecond = 25.0;
 constexpr Duration UnreachableFor = std::chrono::seconds(2);
 
 LoadReport parseReport(const UpstreamId &Id, const std::string &Body, TimePoint Now) {
@@ -128,8 +132,17 @@
 void RoutingService::watch(const std::set<UpstreamId> &Owned) { m_Owned = Owned; }
 
 void RoutingService::pollAll() {
-  std::set<UpstreamId> Targets = m_Polled;
-  Targets.insert(m_Owned.begin(), m_Owned.end());
+  std::set<UpstreamId> Targets = m_Owned;
+  const double Seconds = std::chrono::duration<double>(m_Runtime.m_Settings.m_LoadPollInterval).count();
+  std::size_t Budget = std::max<std::size_t>(1, static_cast<std::size_t>(Seconds * PollsPerSecond));
+  Budget = std::min(Budget, m_Polled.size());
+  auto Next = m_Polled.upper_bound(m_LastPolled);
+  for (; Budget > 0; --Budget, ++Next) {
+    if (Next == m_Polled.end())
+      Next = m_Polled.begin();
+    m_LastPolled = *Next;
+    Targets.insert(*Next);
+  }
   for (const UpstreamId &Id : Targets) {
     const std::optional<Endpoint> Address = addressOf(Id);
     if (Address && m_PollsUnderWay.insert(Id).second)
@@ -221,10 +234,15 @@
   for (const RefusedRequest &Refused : m_Queue.takeRefused(Now))
     if (const auto Found = m_Waiting.find(Refused.m_Request.m_Ticket); Found != m_Waiting.end())
       Found->second->m_Turn.set(Refused.m_Reason);
-  // One request for each call: it decides at once whether there is room, and the next call sees the outcome.
-  if (const std::optional<QueuedRequest> Next = m_Queue.take(Now))
+  // Several requests are woken, since the first may want a version that is still full. Those that find no
+  // room keep their place.
+  for (std::size_t Woken = 0; Woken < WokenAtOnce; ++Woken) {
+    const std::optional<QueuedRequest> Next = m_Queue.take(Now);
+    if (!Next)
+      return;
     if (const auto Found = m_Waiting.find(Next->m_Ticket); Found != m_Waiting.end())
       Found->second->m_Turn.set(Done{});
+  }
 }
 
 } // namespace bulrushpitch
