Daemon: charge the prompt of a resumed answer

Cause: reopen dropped the prompt's token count of the engine's first frame; a daemon that did not start the stream charged 0 prompt tokens. Before: charge [amount, prompt, completion] of a resumed answer [2880,0,120], of the same answer whole [2952,9,120] (tests/process/kill.sh).

--- a/packages/daemon/src/model_service.cpp
+++ b/packages/daemon/src/model_service.cpp
@@ -377,6 +377,8 @@
   Expected<EngineStart> Start = co_await m_Stream->start(std::min(left(), StallTimeout));
   if (!Start)
     co_return Failure;
+  // A daemon that did not start the stream learns here what to charge for the prompt.
+  m_PromptTokens = Start->m_PromptTokens;
   note(EventKind::StreamResumed, "at offset " + std::to_string(m_Assembler->next()));
   co_return Done{};
 }
