--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -90,7 +90,7 @@
 }
 
 # start_cluster [engine arguments]: the platform, the upstreams, four daemons and the configuration. WARM is empty for cold
-# engines.
+# engines; WARM_UP replaces the configured times to warm up.
 start_cluster() {
   start_platform
   start_engines pitch-llm-west-a "$ENGINE_PORT" 8 west-a --versions "$AMPARA_VERSIONS" ${WARM---warm} "$@"
@@ -114,6 +114,7 @@
   for ((number = 1; number <= 3; ++number)); do
     sed -i "s/^port: $((21100 + number))$/port: $((TILL_PORT + number - 1))/" "$CLUSTER"/set/*.yaml
   done
+  if [ -n "${WARM_UP:-}" ]; then sed -i "s/^warmUp: .*/warmUp: $WARM_UP/" "$CLUSTER"/set/*.yaml; fi
   publish "$CLUSTER/set" >"$CLUSTER/publish.txt" 2>&1 || fail "publication: $(cat "$CLUSTER/publish.txt")"
   for instance in "${DAEMONS[@]}"; do
     wait_for 10 holds_revision "${instance%% *}" 1 || fail "instance $instance does not hold the configuration"
