daemon: mend what a reader of the callers' interface found

Ruled out: pinning a session after its first answer, because two first requests could answer on two versions. Before and after: resuming at the end had no HTTP header, now 200 and [DONE] (tests/process/kill.sh); the session start is a case of the decision package's cascade test.

--- a/packages/daemon/src/answer_sink.cpp
+++ b/packages/daemon/src/answer_sink.cpp
@@ -152,6 +152,9 @@
   case ErrorCode::Overloaded:
   case ErrorCode::RetryBudgetSpent:
     return 429;
+  case ErrorCode::NotReady:
+  case ErrorCode::RevisionTooOld:
+    return 503;
   case ErrorCode::DeadlineUnreachable:
   case ErrorCode::UpstreamTimeout:
     return 504;
@@ -163,6 +166,8 @@
     return 400;
   case 2:
     return 403;
+  case 3:
+    return 422;
   case 5:
     return 502;
   case 9:
--- a/packages/daemon/src/call_service.cpp
+++ b/packages/daemon/src/call_service.cpp
@@ -81,7 +81,8 @@
   HttpRequest Request;
   Request.m_Method = Call.m_Route.m_Method;
   Request.m_Target = Call.m_Route.m_Path + Call.m_Query;
-  Request.m_Headers.add("Idempotency-Key", Call.m_Request.value());
+  // Keys are unique within a team only; a service that removes duplicates by key must not mix teams up.
+  Request.m_Headers.add("Idempotency-Key", Call.m_Team.value() + "/" + Call.m_Request.value());
   Request.m_Headers.add("X-Attempt-Id", Attempt.value());
   if (!Call.m_ContentType.empty())
     Request.m_Headers.add("Content-Type", Call.m_ContentType);
--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -259,8 +259,15 @@
     Resumed.m_Call.m_Request = Claims->m_Request;
     Resumed.m_Call.m_Model = Claims->m_Model;
     Resumed.m_Claims = *Claims;
-    if (const std::optional<std::string_view> Last = Request.m_Headers.find("Last-Event-ID"))
-      Resumed.m_Offset = parseNumber<std::uint64_t>(*Last).value_or(0);
+    if (const std::optional<std::string_view> Last = Request.m_Headers.find("Last-Event-ID")) {
+      const std::optional<std::uint64_t> Offset = parseNumber<std::uint64_t>(*Last);
+      if (!Offset) {
+        co_await refuse(badInput(ErrorCode::BadHeaderValue, "Last-Event-ID must be the id of an event"),
+                        Writer);
+        co_return;
+      }
+      Resumed.m_Offset = *Offset;
+    }
     note(EventKind::RequestReceived, Claims->m_Request, Team,
          "resume at offset " + std::to_string(Resumed.m_Offset));
     const RequestId ResumedId = Claims->m_Request;
--- a/packages/daemon/src/cluster_service.cpp
+++ b/packages/daemon/src/cluster_service.cpp
@@ -386,6 +386,12 @@
             << " target=" << Added.m_Target << " operator=" << Added.m_Operator;
   TimelineEvent Event;
   Event.m_Kind = EventKind::RestrictionApplied;
+  if (Added.m_Kind == RestrictionKind::TakeOutDomain)
+    Event.m_Domain = DomainId(Added.m_Target);
+  else if (Added.m_Kind == RestrictionKind::DrainUpstream)
+    Event.m_Upstream = UpstreamId(Added.m_Target);
+  else if (Added.m_Kind == RestrictionKind::WithdrawVersion)
+    Event.m_Version = VersionId(Added.m_Target);
   Event.m_Detail = std::string(nameOf(Added.m_Kind)) + " " + Added.m_Target + " by " + Added.m_Operator;
   m_Events.record(std::move(Event));
   configurationChanged();
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -235,7 +235,7 @@
   if (!Wanted)
     return Wanted.error();
   if (Wanted->m_Instance != m_Parts.m_Cluster.self())
-    return Error{ErrorCode::BadFieldValue, "drain", m_Parts.m_Cluster.self().value(), Ran::No,
+    return Error{ErrorCode::BadHeaderValue, "drain", m_Parts.m_Cluster.self().value(), Ran::No,
                  "the request is for instance '" + Wanted->m_Instance.value() + "'"};
   const std::optional<std::chrono::milliseconds> Deadline = Wanted->m_Deadline;
   LOG(INFO) << "step=drain operator=" << Wanted->m_Operator;
--- a/packages/daemon/src/routing_service.cpp
+++ b/packages/daemon/src/routing_service.cpp
@@ -21,8 +21,8 @@
 constexpr std::size_t EnginesPerVersion = 24;
 constexpr std::size_t WokenAtOnce = 8;
 constexpr Duration UsualTokenGap = std::chrono::milliseconds(20);
-/// A poll costs about 0.04 ms of processor time at each end. With more upstreams than this a daemon polls them in
-/// turn, but for those of the shards that it owns, whose permits depend on fresh reports.
+/// A poll costs about 0.04 ms of processor time at each end. With more upstreams than this a daemon polls
+/// them in turn, but for those of the shards that it owns, whose permits depend on fresh reports.
 constexpr double PollsPerSecond = 25.0;
 constexpr Duration UnreachableFor = std::chrono::seconds(2);
 
@@ -49,7 +49,7 @@
       m_Rollouts([this](const RolloutId &Id, std::string_view Reason) {
         LOG(WARNING) << "step=stop-rollout rollout=" << Id << " reason=\"" << Reason << '"';
         Restriction Stop;
-        Stop.m_Id = RestrictionId("stop-rollout/" + Id.value() + "/" +
+        Stop.m_Id = RestrictionId("stop-rollout." + Id.value() + "." +
                                   std::to_string(m_Cluster.store().revision().value()));
         Stop.m_Kind = RestrictionKind::StopRollout;
         Stop.m_Target = Id.value();
--- a/packages/decision/include/bulrushpitch/decision/route.h
+++ b/packages/decision/include/bulrushpitch/decision/route.h
@@ -27,6 +27,9 @@
   Tokens m_ExpectedTokens;
   std::vector<std::uint64_t> m_PrefixHashes; ///< Of growing prefixes of the prompt, for cache affinity.
   bool m_Streaming = false;
+  /// Choose a single version and no cascade: a session keeps the version it starts with, and the first step
+  /// of a cascade alone may be far below the target.
+  bool m_DirectOnly = false;
   std::uint32_t m_CascadeStep = 0;    ///< Steps of the cascade already answered and rejected.
   std::vector<UpstreamId> m_Excluded; ///< Upstreams that already failed for this request.
 };
--- a/packages/decision/src/router.cpp
+++ b/packages/decision/src/router.cpp
@@ -299,7 +299,8 @@
     if (offered(Team, Known, At) && !alreadyRejected(Known, At, Request))
       m_Candidates.push_back(direct(At, Request, Target));
   }
-  gatherCascade(Team, Known, Request);
+  if (!Request.m_DirectOnly)
+    gatherCascade(Team, Known, Request);
   if (m_Candidates.empty())
     return AnyAllowed
                ? refusal(ErrorCode::NoUpstream, Request,
--- a/packages/decision/tests/router_test.cpp
+++ b/packages/decision/tests/router_test.cpp
@@ -102,6 +102,13 @@
   CHECK(First->m_RateBeforeRelease);
   CHECK_FALSE(First->m_StreamBeforeRating);
   CHECK(First->m_AcceptAt == doctest::Approx(0.7));
+  // A session that starts keeps its version: it must not be left with the first step alone.
+  RouteRequest Session = Request;
+  Session.m_DirectOnly = true;
+  Expected<RouteDecision> Alone = Under.m_Router.decide(Session, Under.m_Now);
+  REQUIRE(Alone);
+  CHECK(Alone->m_Version == VersionId("dear"));
+  CHECK_FALSE(Alone->m_RateBeforeRelease);
   // The rejected version is not tried again, also when the rest cannot reach the target.
   Request.m_CascadeStep = 1;
   Request.m_Quality = 0.95;
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -121,8 +121,8 @@
   CHECK(Test.raw("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'a')).ends_with("104"));
 }
 
-// The idle timeout's error was a temporary of a co_await expression, which g++ 12 destroys twice: a connection
-// that was idle for a minute ended the process.
+// The idle timeout's error was a temporary of a co_await expression, which g++ 12 destroys twice: a
+// connection that was idle for a minute ended the process.
 TEST_CASE("idle and slow clients get their errors and the server goes on") {
   ServerLimits Limits;
   Limits.m_ReadTimeout = std::chrono::milliseconds(300);
--- a/tests/process/kill.sh
+++ b/tests/process/kill.sh
@@ -38,6 +38,12 @@
 # The resumed answer costs what the whole one did.
 usage() { curl -sf "http://$(admin 3)/admin/v1/charges?team=$TEAM" | jq -c --arg id "$1" '.charges[] | select(.request == $id) | [.amount, .promptTokens, .completionTokens]'; }
 [ "$(usage kill-stream)" = "$(usage kill-whole)" ] || fail "charged $(usage kill-stream) instead of $(usage kill-whole)"
+# A caller that has all of the text and lost only the end gets a whole response: it once got chunks without a header.
+last=$(sed -n 's/^id: *\([0-9]*\).*/\1/p' "$CLUSTER/second" | tail -n 1)
+ask 2 kill-stream '' -N -D "$CLUSTER/end.headers" -H "X-Resume-Token: $token" -H "Last-Event-ID: $last" >"$CLUSTER/end"
+grep -q '^HTTP/1.1 200' "$CLUSTER/end.headers" || fail "resuming at the end has no header"
+grep -q '\[DONE\]' "$CLUSTER/end" || fail "resuming at the end did not end"
+[ -z "$(text_of "$CLUSTER/end")" ] || fail "resuming at the end repeated text"
 figure bytes_before_kill "$seen" bytes
 figure bytes_whole ${#whole} bytes
 figure kill_to_end $((resumed - killed)) ms
