--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -1,6 +1,6 @@
 # What the tests with real processes share: four daemons with Ampara's upstreams and configuration on ports of the
 # test's own. To be sourced after OFFSET is set. The cluster's processes are stopped by id when the test ends.
-cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit
 BASE_PORT=$((30000 + OFFSET))
 CLUSTER=$(mktemp -d)
 . scripts/lib/cluster.sh
--- a/tests/process/drain.sh
+++ b/tests/process/drain.sh
@@ -36,7 +36,10 @@
   fi
   refusals=$((refusals + 1))
 done
-debit 1 drain-debit >"$CLUSTER/late" || true
+code=$(debit 1 drain-debit -o "$CLUSTER/late" -w '%{http_code}') || [ $? = 7 ] || fail "a debit broke off"
+if [ "$code" != 000 ]; then
+  [ "$(jq -c '[.error.code, .error.ran]' "$CLUSTER/late")" = '[407,"no"]' ] || fail "a debit got $code: $(cat "$CLUSTER/late")"
+fi
 [ "$(debit_runs drain-debit)" = 0 ] || fail "a debit ran after the daemon had begun to refuse"
 grep -q '\[DONE\]' "$CLUSTER"/stream-* && fail "a stream ended before the new requests were sent"
 for process in "${asking[@]}"; do
