daemon: durations in /metrics; the price of a step stands once

Cause: the metrics package was not used by the daemon, and the price of an ended attempt was worked out in two places. Measured: /metrics shows the three summaries after a call.

--- a/packages/daemon/include/bulrushpitch/daemon/call_service.h
+++ b/packages/daemon/include/bulrushpitch/daemon/call_service.h
@@ -41,6 +41,7 @@
   HttpClient &m_Client;
   ExplainLog &m_Explain;
   Recorder &m_Events;
+  Distribution &m_Duration; ///< Of a call, until its answer may be released.
 };
 
 /// @brief Routes calls of plain services. Non-idempotent calls run at most once.
--- a/packages/daemon/include/bulrushpitch/daemon/model_service.h
+++ b/packages/daemon/include/bulrushpitch/daemon/model_service.h
@@ -12,6 +12,7 @@
 #include "bulrushpitch/daemon/runtime.h"
 #include "bulrushpitch/daemon/session_service.h"
 #include "bulrushpitch/kernel/kernel.h"
+#include "bulrushpitch/metrics/metrics.h"
 
 #include <map>
 #include <memory>
@@ -56,6 +57,8 @@
   RatingService &m_Ratings;
   ExplainLog &m_Explain;
   Recorder &m_Events;
+  Distribution &m_FirstText; ///< From the request to the first text that is released.
+  Distribution &m_Whole;     ///< From the request to the answer's end.
 };
 
 /// @brief Answers model requests: chooses versions and upstreams, streams, rates, escalates, resumes,
--- a/packages/daemon/include/bulrushpitch/daemon/operator_api.h
+++ b/packages/daemon/include/bulrushpitch/daemon/operator_api.h
@@ -36,6 +36,7 @@
   std::shared_ptr<TableExecutor> m_Table;
   ExplainLog &m_Explain;
   Recorder &m_Events;
+  const Metrics &m_Metrics;
 };
 
 /// @brief The operators' interface, HTTP with JSON under /admin/v1/, and metrics. See docs/admin-api.md.
--- a/packages/daemon/src/call_service.cpp
+++ b/packages/daemon/src/call_service.cpp
@@ -47,6 +47,7 @@
 
 asio::awaitable<Expected<HttpResponse>> CallService::serve(ServiceCall Call) {
   ++m_Active;
+  const TimePoint Start = m_Runtime.m_Clock();
   m_Parts.m_Routing.retries().onRequest();
   Expected<HttpResponse> Response = Error{};
   if (Call.m_Route.m_Idempotent)
@@ -54,6 +55,7 @@
   else
     Response = co_await serveOnce(Call);
   --m_Active;
+  m_Parts.m_Duration.record(m_Runtime.m_Clock() - Start);
   co_return Response;
 }
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -25,7 +25,8 @@
       : m_Context(Context), m_Settings(std::move(Read)), m_Runtime{Context, m_Settings, systemClock(),
                                                                    systemWallClock(), systemRandom()},
         m_Events(m_Settings.m_Instance, m_Runtime.m_Clock, m_Runtime.m_WallClock, recorderLimits()),
-        m_Explain(m_Runtime), m_Rows(Context, endpointOf(m_Settings.m_Platform.m_Table), TableTimeout),
+        m_Metrics(m_Runtime.m_Clock), m_Explain(m_Runtime),
+        m_Rows(Context, endpointOf(m_Settings.m_Platform.m_Table), TableTimeout),
         m_Objects(Context, endpointOf(m_Settings.m_Platform.m_ObjectStore), ObjectTimeout),
         m_Instances(Context, endpointOf(m_Settings.m_Platform.m_InstanceList), ListTimeout),
         m_Ratings(Context, endpointOf(m_Settings.m_Platform.m_Rating), RatingTimeout),
@@ -65,6 +66,10 @@
     return **capture([&] { return m_Services.find<T>(Name); });
   }
 
+  Distribution &duration(const std::string &Name, const std::string &Help) {
+    return m_Metrics.distribution(Name, Help);
+  }
+
   void addServices() {
     m_Services.add("drain", std::make_shared<DrainService>(m_Runtime, m_Events));
     m_Services.add("cluster", std::make_shared<ClusterService>(m_Runtime, m_Rows, m_Objects, m_Instances,
@@ -83,14 +88,21 @@
     PermitService &Permits = need<PermitService>("permits");
     BillingService &Billing = need<BillingService>("billing");
     SessionService &Sessions = need<SessionService>("sessions");
-    m_Services.add("models", std::make_shared<ModelService>(
-                                 m_Runtime, ModelParts{Cluster, Routing, Permits, Billing, Sessions,
-                                                       m_Engines, m_Ratings, m_Explain, m_Events}));
+    m_Services.add("models",
+                   std::make_shared<ModelService>(
+                       m_Runtime, ModelParts{Cluster, Routing, Permits, Billing, Sessions, m_Engines,
+                                             m_Ratings, m_Explain, m_Events,
+                                             duration("bulrushpitch_first_text_seconds",
+                                                      "From a model request to its first released text"),
+                                             duration("bulrushpitch_model_request_seconds",
+                                                      "From a model request to the end of its answer")}));
     ModelService &Models = need<ModelService>("models");
     m_Services.add("calls",
                    std::make_shared<CallService>(
                        m_Runtime, CallParts{Cluster, Routing, Permits, Billing, need<ClaimService>("claims"),
-                                            Models, m_UpstreamClient, m_Explain, m_Events}));
+                                            Models, m_UpstreamClient, m_Explain, m_Events,
+                                            duration("bulrushpitch_service_call_seconds",
+                                                     "From a service call to its answer")}));
     m_Services.add("peers", std::make_shared<PeerService>(m_Runtime, Cluster, Permits, Billing, m_Events));
     addListeners();
   }
@@ -109,10 +121,10 @@
     m_Services.add(
         "operators",
         std::make_shared<OperatorApi>(
-            m_Runtime,
-            OperatorParts{Cluster, need<RoutingService>("routing"), need<PermitService>("permits"), Billing,
-                          need<PublicationService>("publication"), Drain, need<CallerApi>("callers"),
-                          need<PeerService>("peers"), m_Peers, m_Rows, m_Table, m_Explain, m_Events}));
+            m_Runtime, OperatorParts{Cluster, need<RoutingService>("routing"), need<PermitService>("permits"),
+                                     Billing, need<PublicationService>("publication"), Drain,
+                                     need<CallerApi>("callers"), need<PeerService>("peers"), m_Peers, m_Rows,
+                                     m_Table, m_Explain, m_Events, m_Metrics}));
   }
 
   void connectDrain() {
@@ -140,6 +152,7 @@
   Settings m_Settings;
   Runtime m_Runtime;
   Recorder m_Events;
+  Metrics m_Metrics;
   ExplainLog m_Explain;
   HttpTableService m_Rows;
   HttpObjectStore m_Objects;
--- a/packages/daemon/src/model_service.cpp
+++ b/packages/daemon/src/model_service.cpp
@@ -44,7 +44,7 @@
 public:
   Exchange(ModelService &Owner, ModelCall Call, AnswerSink &Sink)
       : m_Owner(Owner), m_Parts(Owner.m_Parts), m_Call(std::move(Call)), m_Sink(Sink),
-        m_PromptText(promptText(m_Call.m_Prompt)) {
+        m_Start(Owner.m_Runtime.m_Clock()), m_PromptText(promptText(m_Call.m_Prompt)) {
     m_Owner.m_Active.insert(this);
     m_Route.m_Team = m_Call.m_Team;
     m_Route.m_Model = m_Call.m_Model;
@@ -100,6 +100,8 @@
   void recordRating(double Rating);
   void sampleRating();
   void escalate();
+  /// @brief Adds the price of the attempt that has ended.
+  void addCost();
 
   Duration left() const { return m_Call.m_Deadline - m_Owner.m_Runtime.m_Clock(); }
   void closeStream() {
@@ -128,6 +130,7 @@
   ModelParts &m_Parts;
   ModelCall m_Call;
   AnswerSink &m_Sink;
+  TimePoint m_Start;
   std::string m_PromptText;
   RouteRequest m_Route;
   RouteDecision m_Decision;
@@ -446,6 +449,7 @@
       Claims.m_Version = m_Decision.m_Version;
       Head.m_ResumeToken = m_Parts.m_Sessions.issueResume(std::move(Claims));
     }
+    m_Parts.m_FirstText.record(m_Owner.m_Runtime.m_Clock() - m_Start);
     Expected<Done> Begun = co_await m_Sink.begin(Head);
     m_CallerGone = !Begun;
   }
@@ -475,6 +479,14 @@
 
 void ModelService::Exchange::escalate() {
   note(EventKind::Escalated, m_Decision.m_Version.value() + " was rated below its threshold");
+  addCost();
+  m_Route.m_CascadeStep = m_Decision.m_NextCascadeStep;
+  m_Text.clear();
+  m_Assembler.reset();
+  m_CompletionTokens = Tokens();
+}
+
+void ModelService::Exchange::addCost() {
   const std::shared_ptr<const Configuration> Config = m_Parts.m_Cluster.effective();
   if (const auto Found = Config->m_Versions.find(m_Decision.m_Version); Found != Config->m_Versions.end()) {
     const Version &Used = Found->second;
@@ -482,10 +494,6 @@
         MicroCents(Used.m_PromptPrice.value() * static_cast<std::int64_t>(m_PromptTokens.value()) +
                    Used.m_CompletionPrice.value() * static_cast<std::int64_t>(m_CompletionTokens.value()));
   }
-  m_Route.m_CascadeStep = m_Decision.m_NextCascadeStep;
-  m_Text.clear();
-  m_Assembler.reset();
-  m_CompletionTokens = Tokens();
 }
 
 void ModelService::Exchange::recordRating(double Rating) {
@@ -521,13 +529,7 @@
 }
 
 asio::awaitable<Expected<Done>> ModelService::Exchange::finish() {
-  const std::shared_ptr<const Configuration> Config = m_Parts.m_Cluster.effective();
-  if (const auto Found = Config->m_Versions.find(m_Decision.m_Version); Found != Config->m_Versions.end()) {
-    const Version &Used = Found->second;
-    m_Amount +=
-        MicroCents(Used.m_PromptPrice.value() * static_cast<std::int64_t>(m_PromptTokens.value()) +
-                   Used.m_CompletionPrice.value() * static_cast<std::int64_t>(m_CompletionTokens.value()));
-  }
+  addCost();
   if (m_Released < m_Text.size()) {
     const std::string Rest = m_Text.substr(m_Released);
     co_await release(m_Released, Rest);
@@ -546,6 +548,7 @@
   Expected<Done> Charged = co_await m_Parts.m_Billing.charge(std::move(Added), ChargeTimeout);
   if (!Charged)
     co_return Charged;
+  m_Parts.m_Whole.record(m_Owner.m_Runtime.m_Clock() - m_Start);
   if (m_CallerGone)
     co_return Done{};
   AnswerEnd End;
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -447,7 +447,7 @@
       << '\n'
       << "bulrushpitch_resident_bytes " << residentBytes() << '\n'
       << "bulrushpitch_processor_seconds_total " << processorSeconds() << '\n';
-  return Out.str();
+  return Out.str() + m_Parts.m_Metrics.render();
 }
 
 } // namespace bulrushpitch
