--- a/packages/daemon/include/bulrushpitch/daemon/permit_service.h
+++ b/packages/daemon/include/bulrushpitch/daemon/permit_service.h
@@ -47,6 +47,7 @@
   struct HeldLease {
     ShardId m_Shard;
     FencingNumber m_Fencing;
+    Duration m_Remaining{};
   };
   std::vector<HeldLease> heldLeases() const;
 
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -414,6 +414,7 @@
     LeaseStatus Lease;
     Lease.m_Shard = Held.m_Shard.m_Domain.value() + "/" + std::to_string(Held.m_Shard.m_Shard);
     Lease.m_Fencing = Held.m_Fencing;
+    Lease.m_ExpiresIn = std::chrono::duration_cast<std::chrono::milliseconds>(Held.m_Remaining);
     Reply.m_Leases.push_back(std::move(Lease));
   }
   Reply.m_StoreReachable = m_Parts.m_Cluster.storeSeen();
--- a/packages/daemon/src/permit_service.cpp
+++ b/packages/daemon/src/permit_service.cpp
@@ -338,7 +338,7 @@
   const TimePoint Now = m_Runtime.m_Clock();
   for (const std::pair<const ShardId, TimePoint> &Entry : m_Won)
     if (const std::optional<FencingNumber> Fencing = m_Leases.held(Entry.first, Now))
-      Held.push_back(HeldLease{Entry.first, *Fencing});
+      Held.push_back(HeldLease{Entry.first, *Fencing, m_Leases.remaining(Entry.first, Now)});
   return Held;
 }
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -217,7 +217,9 @@
                                 asio::redirect_error(asio::use_awaitable, Code));
     Connection.disarm();
     if (Code) {
-      co_await refuse(Connection, readError(Code, Connection.m_Expired, Peer), Peer);
+      const std::optional<Error> Failure = readError(Code, Connection.m_Expired, Peer);
+      if (Failure)
+        co_await refuse(Connection, *Failure, Peer);
       co_return false;
     }
     co_return co_await handle(Connection, Parser.release(), Peer);
@@ -270,11 +272,10 @@
     co_return Writer.reusable() && !Failure;
   }
 
-  asio::awaitable<void> refuse(Watched &Connection, std::optional<Error> Failure, const std::string &Peer) {
-    if (!Failure)
-      co_return;
+  asio::awaitable<void> refuse(Watched &Connection, const Error &Failure, const std::string &Peer) {
     ConnectionWriter Writer(Connection, m_Limits.m_WriteTimeout, false, Peer);
-    static_cast<void>(co_await Writer.send(m_Renderer(*Failure)));
+    HttpResponse Response = m_Renderer(Failure);
+    static_cast<void>(co_await Writer.send(std::move(Response)));
   }
 
   static std::optional<Error> readError(error_code Code, bool Expired, const std::string &Peer) {
--- a/packages/protocol/include/bulrushpitch/protocol/lease_manager.h
+++ b/packages/protocol/include/bulrushpitch/protocol/lease_manager.h
@@ -89,6 +89,8 @@
 
   /// @return the fencing number if the lease is held at @p Now
   std::optional<FencingNumber> held(const ShardId &Shard, TimePoint Now) const;
+  /// @return the time until a held lease expires; zero if it is not held
+  Duration remaining(const ShardId &Shard, TimePoint Now) const;
   /// @return whether the lease is held and permits of earlier owners have expired
   bool mayGrant(const ShardId &Shard, TimePoint Now) const;
   /// @return whether orders may be sent: held for a lease length, and not in the last 2 s
--- a/packages/protocol/src/lease_manager.cpp
+++ b/packages/protocol/src/lease_manager.cpp
@@ -328,6 +328,11 @@
   return Of->m_Row->m_Fencing;
 }
 
+Duration LeaseManager::remaining(const ShardId &Id, TimePoint Now) const {
+  const Shard *Of = m_Impl->find(Id);
+  return Of == nullptr || !Of->isHeld(Now) ? Duration::zero() : Of->m_Until - Now;
+}
+
 bool LeaseManager::mayGrant(const ShardId &Id, TimePoint Now) const {
   const Shard *Of = m_Impl->find(Id);
   return Of != nullptr && Of->isHeld(Now) && Now >= Of->m_GrantFrom;
