--- a/packages/daemon/include/bulrushpitch/daemon/cluster_service.h
+++ b/packages/daemon/include/bulrushpitch/daemon/cluster_service.h
@@ -94,6 +94,7 @@
   boost::asio::awaitable<void> refreshHead();
   boost::asio::awaitable<Expected<Done>> fetchSnapshot(std::string Name, InstanceId Publisher);
 
+  void forgetAddresses();
   void heard(const PeerDigest &From);
   void configurationChanged();
   void updateHolds();
--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -19,6 +19,19 @@
 constexpr std::int64_t LongestDeadlineMs = 3'600'000;
 constexpr std::uint64_t LongestAnswer = 1'000'000;
 
+/// Counts a request as long as it is being answered, also if answering it throws: a drain waits for the
+/// count.
+class ActiveGuard {
+public:
+  explicit ActiveGuard(std::size_t &Count) : m_Count(Count) { ++m_Count; }
+  ~ActiveGuard() { --m_Count; }
+  ActiveGuard(const ActiveGuard &) = delete;
+  ActiveGuard &operator=(const ActiveGuard &) = delete;
+
+private:
+  std::size_t &m_Count;
+};
+
 Error badInput(ErrorCode Code, std::string Detail) {
   return Error{Code, "read request", "caller", Ran::No, std::move(Detail)};
 }
@@ -146,7 +159,7 @@
     co_await refuse(From.error(), Writer);
     co_return;
   }
-  ++m_Active;
+  const ActiveGuard Guard(m_Active);
   if (Path == "/v1/chat/completions" && Request.m_Method == "POST")
     co_await complete(*From, Request, Writer);
   else if (Path == "/v1/models" && Request.m_Method == "GET")
@@ -155,7 +168,6 @@
     co_await call(*From, Request, Writer);
   else
     co_await refuse(badInput(ErrorCode::UnknownPath, "no such path: " + std::string(Path)), Writer);
-  --m_Active;
 }
 
 Expected<CallerApi::Caller> CallerApi::admit(const HttpRequest &Request) {
--- a/packages/daemon/src/cluster_service.cpp
+++ b/packages/daemon/src/cluster_service.cpp
@@ -4,6 +4,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace bulrushpitch {
 
 namespace asio = boost::asio;
@@ -14,6 +16,7 @@
 constexpr Duration ListInterval = std::chrono::seconds(1);
 /// Deltas are wanted by peers that are a few revisions behind; older ones get the whole snapshot.
 constexpr std::size_t RecentConfigurations = 4;
+constexpr std::size_t SpareAddresses = 64;
 
 std::uint64_t incarnationFrom(const WallClockHook &WallClock) {
   return static_cast<std::uint64_t>(WallClock().time_since_epoch().count());
@@ -358,10 +361,24 @@
   run(m_Membership.listed(Now, Members));
   if (!m_Gate.ready())
     run(m_Membership.askUnheard(Now));
+  forgetAddresses();
   for (const ListHook &Hook : m_OnList)
     Hook(*List);
 }
 
+void ClusterService::forgetAddresses() {
+  // Instances are replaced many times a day, each under a new name.
+  const std::vector<Member> Known = m_Membership.members();
+  const auto IsGone = [&Known](const std::pair<const InstanceId, Endpoint> &Entry) {
+    return std::none_of(Known.begin(), Known.end(),
+                        [&Entry](const Member &Each) { return Each.m_Update.m_Instance == Entry.first; });
+  };
+  if (m_Rpc.size() > 2 * Known.size() + SpareAddresses) {
+    std::erase_if(m_Rpc, IsGone);
+    std::erase_if(m_Admin, IsGone);
+  }
+}
+
 bool ClusterService::install(Configuration Offered, const InstanceId &Publisher) {
   const ConfigRevision Revision = Offered.m_Revision;
   if (!m_Store.offer(std::move(Offered)))
--- a/packages/daemon/src/model_service.cpp
+++ b/packages/daemon/src/model_service.cpp
@@ -59,7 +59,12 @@
     m_Route.m_PrefixHashes = prefixHashes(m_PromptText);
     m_Route.m_Streaming = m_Call.m_Stream;
   }
-  ~Exchange() { m_Owner.m_Active.erase(this); }
+  ~Exchange() {
+    m_Owner.m_Active.erase(this);
+    std::erase_if(m_Owner.m_ByAttempt, [this](const std::pair<const AttemptId, Exchange *> &Entry) {
+      return Entry.second == this;
+    });
+  }
   Exchange(const Exchange &) = delete;
   Exchange &operator=(const Exchange &) = delete;
 
