daemon: remove state that nothing reads; one place makes messages to holders of copies

Cause: read over the whole change. CallService counted calls that CallerApi counts already, TableExecutor kept a health that ClusterService keeps from the head poll, RoutingService held a recorder it never used, a resumed answer set a field that no longer decides anything, and the head of a message about charges was filled in at two places.

--- a/packages/daemon/include/bulrushpitch/daemon/billing_service.h
+++ b/packages/daemon/include/bulrushpitch/daemon/billing_service.h
@@ -51,6 +51,8 @@
   void execute(HoldCharges Action);
   void execute(DropCharges Action);
   void execute(const ReleaseEnd &Action);
+  /// @return a message of this daemon to the holder of copies, without charges
+  PeerCharges messageFor(const CopyHolder &To) const;
   boost::asio::awaitable<void> sendHold(HoldCharges Action);
   boost::asio::awaitable<void> sendDrop(DropCharges Action);
 
--- a/packages/daemon/include/bulrushpitch/daemon/call_service.h
+++ b/packages/daemon/include/bulrushpitch/daemon/call_service.h
@@ -56,9 +56,6 @@
   /// @return the service's response, or an error that says whether the call ran
   boost::asio::awaitable<Expected<HttpResponse>> serve(ServiceCall Call);
 
-  /// @return calls being carried out now
-  std::size_t active() const { return m_Active; }
-
 private:
   boost::asio::awaitable<Expected<HttpResponse>> serveIdempotent(const ServiceCall &Call);
   boost::asio::awaitable<Expected<HttpResponse>> serveOnce(const ServiceCall &Call);
@@ -70,7 +67,6 @@
 
   Runtime m_Runtime;
   CallParts m_Parts;
-  std::size_t m_Active = 0;
 };
 
 } // namespace bulrushpitch
--- a/packages/daemon/include/bulrushpitch/daemon/routing_service.h
+++ b/packages/daemon/include/bulrushpitch/daemon/routing_service.h
@@ -23,7 +23,7 @@
   using ReportHook = std::function<void(const LoadReport &)>;
   using RolloutStopHook = std::function<void(const RolloutId &, std::string_view Reason)>;
 
-  RoutingService(const Runtime &Base, ClusterService &Cluster, HttpClient &Client, Recorder &Events);
+  RoutingService(const Runtime &Base, ClusterService &Cluster, HttpClient &Client);
 
   Result<void> start() override;
   void stop() override;
@@ -70,7 +70,6 @@
   Runtime m_Runtime;
   ClusterService &m_Cluster;
   HttpClient &m_Client;
-  Recorder &m_Events;
   QualityEstimator m_Quality;
   UpstreamTable m_Upstreams;
   RolloutController m_Rollouts;
--- a/packages/daemon/include/bulrushpitch/daemon/table_executor.h
+++ b/packages/daemon/include/bulrushpitch/daemon/table_executor.h
@@ -12,7 +12,7 @@
 
 namespace bulrushpitch {
 
-/// @brief Carries out the table actions of the protocol machines and keeps the store's health.
+/// @brief Carries out the table actions of the protocol machines and counts them.
 class TableExecutor : public std::enable_shared_from_this<TableExecutor> {
 public:
   using CommitHook = std::function<void(std::uint64_t Token, const CommitResult &)>;
@@ -25,8 +25,6 @@
   /// @brief Reads the row and reports the result.
   void read(ReadRow Action, ReadHook Report);
 
-  /// @return whether the last answer of the table service was a success
-  bool reachable() const { return m_Reachable; }
   /// @return reads and writes sent so far
   std::uint64_t reads() const { return m_Reads; }
   std::uint64_t writes() const { return m_Writes; }
@@ -37,7 +35,6 @@
 
   Runtime m_Runtime;
   TableService &m_Table;
-  bool m_Reachable = false;
   std::uint64_t m_Reads = 0;
   std::uint64_t m_Writes = 0;
 };
--- a/packages/daemon/src/billing_service.cpp
+++ b/packages/daemon/src/billing_service.cpp
@@ -76,15 +76,20 @@
     Found->second->set(Done{});
 }
 
+PeerCharges BillingService::messageFor(const CopyHolder &To) const {
+  PeerCharges Message;
+  Message.m_Owner = m_Cluster.self();
+  Message.m_Incarnation = m_Cluster.incarnation();
+  Message.m_HolderIncarnation = To.m_Incarnation;
+  Message.m_Lamport = m_Events.lamport();
+  return Message;
+}
+
 asio::awaitable<void> BillingService::sendHold(HoldCharges Action) {
   const std::optional<Endpoint> Address = m_Cluster.addressOf(Action.m_To.m_Instance);
   bool Held = false;
   if (Address) {
-    PeerCharges Message;
-    Message.m_Owner = m_Cluster.self();
-    Message.m_Incarnation = m_Cluster.incarnation();
-    Message.m_HolderIncarnation = Action.m_To.m_Incarnation;
-    Message.m_Lamport = m_Events.lamport();
+    PeerCharges Message = messageFor(Action.m_To);
     for (const Charge &Copied : Action.m_Charges) {
       PeerCharge Entry;
       Entry.m_Key = chargeKey(Copied.m_Team, Copied.m_Request);
@@ -106,11 +111,7 @@
     m_Ledger.dropAnswered(m_Runtime.m_Clock(), Action.m_Token, false);
     co_return;
   }
-  PeerCharges Message;
-  Message.m_Owner = m_Cluster.self();
-  Message.m_Incarnation = m_Cluster.incarnation();
-  Message.m_HolderIncarnation = Action.m_To.m_Incarnation;
-  Message.m_Lamport = m_Events.lamport();
+  PeerCharges Message = messageFor(Action.m_To);
   for (const std::string &Dropped : Action.m_Keys) {
     PeerCharge Entry;
     Entry.m_Key = Dropped;
--- a/packages/daemon/src/call_service.cpp
+++ b/packages/daemon/src/call_service.cpp
@@ -46,7 +46,6 @@
 } // namespace
 
 asio::awaitable<Expected<HttpResponse>> CallService::serve(ServiceCall Call) {
-  ++m_Active;
   const TimePoint Start = m_Runtime.m_Clock();
   m_Parts.m_Routing.retries().onRequest();
   Expected<HttpResponse> Response = Error{};
@@ -54,7 +53,6 @@
     Response = co_await serveIdempotent(Call);
   else
     Response = co_await serveOnce(Call);
-  --m_Active;
   m_Parts.m_Duration.record(m_Runtime.m_Clock() - Start);
   co_return Response;
 }
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -75,7 +75,7 @@
     m_Services.add("cluster", std::make_shared<ClusterService>(m_Runtime, m_Rows, m_Objects, m_Instances,
                                                                m_Peers, m_Events));
     ClusterService &Cluster = need<ClusterService>("cluster");
-    m_Services.add("routing", std::make_shared<RoutingService>(m_Runtime, Cluster, m_LoadClient, m_Events));
+    m_Services.add("routing", std::make_shared<RoutingService>(m_Runtime, Cluster, m_LoadClient));
     RoutingService &Routing = need<RoutingService>("routing");
     m_Services.add("permits", std::make_shared<PermitService>(m_Runtime, Cluster, Routing, m_Peers, m_Engines,
                                                               m_Table, m_Events));
--- a/packages/daemon/src/model_service.cpp
+++ b/packages/daemon/src/model_service.cpp
@@ -575,7 +575,6 @@
   const std::optional<Endpoint> Address = m_Parts.m_Routing.addressOf(Claims.m_Upstream);
   m_Decision.m_Upstream = Claims.m_Upstream;
   m_Decision.m_Version = Claims.m_Version;
-  m_Decision.m_StreamBeforeRating = true;
   m_Upstream = Claims.m_Upstream;
   m_Released = Offset;
   m_StreamId = Claims.m_Stream;
--- a/packages/daemon/src/routing_service.cpp
+++ b/packages/daemon/src/routing_service.cpp
@@ -43,9 +43,8 @@
 
 } // namespace
 
-RoutingService::RoutingService(const Runtime &Base, ClusterService &Cluster, HttpClient &Client,
-                               Recorder &Events)
-    : m_Runtime(Base), m_Cluster(Cluster), m_Client(Client), m_Events(Events),
+RoutingService::RoutingService(const Runtime &Base, ClusterService &Cluster, HttpClient &Client)
+    : m_Runtime(Base), m_Cluster(Cluster), m_Client(Client),
       m_Rollouts([this](const RolloutId &Id, std::string_view Reason) {
         LOG(WARNING) << "step=stop-rollout rollout=" << Id << " reason=\"" << Reason << '"';
         Restriction Stop;
--- a/packages/daemon/src/table_executor.cpp
+++ b/packages/daemon/src/table_executor.cpp
@@ -50,7 +50,6 @@
   }
   ++m_Writes;
   Expected<CommitOutcome> Committed = co_await m_Table.commit(std::move(Writes));
-  m_Reachable = Committed.hasValue();
   if (!Committed) {
     Report(Action.m_Token, Committed.error());
     co_return;
@@ -67,7 +66,6 @@
   const std::shared_ptr<TableExecutor> Self = shared_from_this();
   ++m_Reads;
   Expected<std::optional<Row>> Read = co_await m_Table.get(std::move(Action.m_Key));
-  m_Reachable = Read.hasValue();
   if (!Read) {
     Report(Action.m_Token, Read.error());
     co_return;
