Roll-outs: daemons pool their evidence, and wait for the daemons' decisions after a restart

A daemon that had just started took the order for a running roll-out until it had read the state. Ruled out: wrong samples (the log shows the version of each attempt).

Change: a daemon whose evidence rises writes it beside the roll-out's state, so that the watch which is open anyway brings it to the others; the sum decides. No request runs on a new version before the decisions were read.

Tests of the decisions of packages/forward.

--- a/packages/forward/include/bulrushpitch/forward/objects.h
+++ b/packages/forward/include/bulrushpitch/forward/objects.h
@@ -115,6 +115,15 @@
   std::uint64_t m_RowVersion = 0; ///< Condition of the next write; 0: there is no row.
 };
 
+/// @brief What one daemon has seen against the new version of a roll-out.
+struct TrialEvidence {
+  ServiceId m_Service;
+  VersionId m_To;
+  std::uint64_t m_OrderVersion = 0; ///< Of the order that it belongs to.
+  InstanceId m_Daemon;
+  double m_Evidence = 0.0; ///< Log likelihood ratio of "bad" against "good".
+};
+
 } // namespace bulrushpitch
 
 #endif // BULRUSHPITCH_FORWARD_OBJECTS_H
--- a/packages/forward/include/bulrushpitch/forward/version_trial.h
+++ b/packages/forward/include/bulrushpitch/forward/version_trial.h
@@ -24,7 +24,8 @@
 ///
 /// A cumulative sum test compares the new version's failures with the old one's: it forgets good answers, so
 /// that a version that turns bad late is found as fast as one that is bad from the start. An answer that
-/// comes several times later than the old version's usual one on the same route counts as a failure. Not
+/// comes several times later than the old version's usual one on the same route counts as a failure. Daemons
+/// tell one another their evidence, so that the sum finds a version that fails a little at each of them. Not
 /// thread-safe.
 class VersionTrial {
 public:
@@ -33,6 +34,9 @@
 
   /// @brief Takes what the daemons have decided together.
   void setState(TrialState State) { m_State = State; }
+  /// @brief Notes that the daemons' decisions have been read since the order was seen. Before, no request
+  /// runs on the new version: it may have been rolled back while this daemon was away.
+  void confirm() { m_Confirmed = true; }
   TrialState state() const { return m_State; }
   const TrialOrder &order() const { return m_Order; }
 
@@ -47,8 +51,15 @@
   /// @return what this daemon would decide now: rolled back on evidence, completed when the trial has lasted
   /// long enough and the new version has answered often enough without evidence, else running
   TrialState verdict(TimePoint Now) const;
-  /// @return the cumulative evidence against the new version
+  /// @return this daemon's cumulative evidence against the new version
   double evidence() const { return m_Evidence; }
+  /// @return whether this daemon's evidence alone is enough to roll back
+  bool convinced() const;
+  /// @brief Takes what another daemon has seen. It fades, as that daemon tells only of what speaks against
+  /// the version.
+  void onPeerEvidence(const InstanceId &Daemon, double Evidence, TimePoint Now);
+  /// @brief Hands over this daemon's evidence if it has risen since it was handed over last.
+  std::optional<double> takeNews();
   std::uint64_t newAnswers() const { return m_NewAnswers; }
 
 private:
@@ -56,16 +67,25 @@
     double m_MeanSeconds = 0.0;
     std::uint64_t m_Count = 0;
   };
+  double peerEvidence(TimePoint Now) const;
+  bool isBad(TimePoint Now) const;
   bool isSlow(const TrialSample &Sample) const;
 
   TrialOrder m_Order;
   TimePoint m_SeenAt;
   TrialState m_State = TrialState::Running;
+  bool m_Confirmed = false;
   std::map<std::string, RouteLatency> m_OldLatency;
   double m_OldAnswers = 0.0;
   double m_OldFailures = 0.0;
   std::uint64_t m_NewAnswers = 0;
   double m_Evidence = 0.0;
+  double m_LastTold = 0.0; ///< Evidence at the last takeNews().
+  struct Told {
+    double m_Evidence = 0.0;
+    TimePoint m_At{};
+  };
+  std::map<InstanceId, Told> m_Peers;
 };
 
 } // namespace bulrushpitch
--- a/packages/forward/src/version_trial.cpp
+++ b/packages/forward/src/version_trial.cpp
@@ -20,6 +20,11 @@
 constexpr double SessionsKeepVersionUntil = 0.5;
 /// Evidence (log likelihood ratio) at which the version is rolled back: three failures in a row, nearly.
 constexpr double RollBackAt = 6.0;
+/// Sum of all daemons' evidence at which it is rolled back. Higher, as single failures at several daemons add
+/// up.
+constexpr double RollBackTogetherAt = 9.0;
+/// How fast another daemon's evidence fades: as fast as its own good answers would lower it.
+constexpr double PeerEvidenceFadesPerSecond = 0.3;
 /// Evidence from which a version is not completed yet.
 constexpr double DoubtAt = 2.0;
 /// Rise of the failure rate that the test looks for.
@@ -66,6 +71,30 @@
   m_Evidence = std::max(0.0, m_Evidence + Ratio);
 }
 
+double VersionTrial::peerEvidence(TimePoint Now) const {
+  double Sum = 0.0;
+  for (const auto &Peer : m_Peers)
+    Sum +=
+        std::max(0.0, Peer.second.m_Evidence - PeerEvidenceFadesPerSecond * seconds(Now - Peer.second.m_At));
+  return Sum;
+}
+
+bool VersionTrial::convinced() const { return m_Evidence >= RollBackAt; }
+
+bool VersionTrial::isBad(TimePoint Now) const {
+  return convinced() || m_Evidence + peerEvidence(Now) >= RollBackTogetherAt;
+}
+
+void VersionTrial::onPeerEvidence(const InstanceId &Daemon, double Evidence, TimePoint Now) {
+  m_Peers[Daemon] = Told{Evidence, Now};
+}
+
+std::optional<double> VersionTrial::takeNews() {
+  const bool Risen = m_Evidence > m_LastTold;
+  m_LastTold = m_Evidence;
+  return Risen ? std::optional(m_Evidence) : std::nullopt;
+}
+
 VersionRule VersionTrial::ruleFor(std::uint64_t RequestHash, bool InSession, TimePoint Now) const {
   VersionRule Rule;
   if (m_State == TrialState::Completed) {
@@ -73,7 +102,7 @@
     return Rule;
   }
   const bool SessionStays = InSession && Now - m_SeenAt < m_Order.m_TimeLimit * SessionsKeepVersionUntil;
-  const bool OnNew = m_State == TrialState::Running && m_Evidence < RollBackAt && !SessionStays &&
+  const bool OnNew = m_State == TrialState::Running && m_Confirmed && !isBad(Now) && !SessionStays &&
                      static_cast<double>(RequestHash) / HashRange < TrialShare;
   if (OnNew)
     Rule.m_Only = m_Order.m_To;
@@ -83,14 +112,14 @@
 }
 
 TrialState VersionTrial::verdict(TimePoint Now) const {
-  if (m_State != TrialState::Running)
+  if (m_State != TrialState::Running || !m_Confirmed)
     return m_State;
-  if (m_Evidence >= RollBackAt)
+  if (isBad(Now))
     return TrialState::RolledBack;
   const double Passed = seconds(Now - m_SeenAt) / seconds(m_Order.m_TimeLimit);
   const bool Tried = (Passed >= CompleteAfter && m_NewAnswers >= AnswersToComplete) ||
                      (Passed >= CompleteLate && m_NewAnswers >= AnswersToCompleteLate);
-  return Tried && m_Evidence < DoubtAt ? TrialState::Completed : TrialState::Running;
+  return Tried && m_Evidence + peerEvidence(Now) < DoubtAt ? TrialState::Completed : TrialState::Running;
 }
 
 } // namespace bulrushpitch
--- /dev/null
+++ b/packages/forward/tests/model_choice_test.cpp
@@ -0,0 +1,42 @@
+#include "bulrushpitch/forward/model_choice.h"
+
+#include <doctest/doctest.h>
+
+using namespace bulrushpitch;
+using std::chrono::milliseconds;
+
+namespace {
+
+ModelAnswer answer(int Confidence) {
+  ModelAnswer Given;
+  Given.m_Models = {ModelId("small"), ModelId("middle"), ModelId("large")};
+  Given.m_Confidence = Confidence;
+  Given.m_UntilTarget = milliseconds(1800);
+  Given.m_HeadTook = milliseconds(100);
+  return Given;
+}
+
+} // namespace
+
+TEST_CASE("a confident answer is kept, a doubtful one goes to the largest model") {
+  CHECK_FALSE(escalate(answer(90)).m_Model);
+  CHECK(escalate(answer(10)).m_Model == std::size_t{2});
+}
+
+TEST_CASE("the largest model's answer is kept whatever it thinks of it") {
+  ModelAnswer Given = answer(10);
+  Given.m_Model = 2;
+  CHECK_FALSE(escalate(Given).m_Model);
+}
+
+TEST_CASE("an answer is kept when a larger model would come too late, or nothing is known of it") {
+  ModelAnswer Late = answer(10);
+  Late.m_UntilTarget = milliseconds(300);
+  CHECK_FALSE(escalate(Late).m_Model);
+  ModelAnswer Silent = answer(10);
+  Silent.m_Confidence.reset();
+  CHECK_FALSE(escalate(Silent).m_Model);
+  ModelAnswer Fixed = answer(10);
+  Fixed.m_Models.clear();
+  CHECK_FALSE(escalate(Fixed).m_Model);
+}
--- /dev/null
+++ b/packages/forward/tests/upstream_pool_test.cpp
@@ -0,0 +1,109 @@
+#include "bulrushpitch/forward/upstream_pool.h"
+
+#include <doctest/doctest.h>
+
+using namespace bulrushpitch;
+using std::chrono::milliseconds;
+
+namespace {
+
+RegisteredUpstream entry(std::string Id, std::string Domain = "west-a") {
+  RegisteredUpstream Made;
+  Made.m_Id = UpstreamId(std::move(Id));
+  Made.m_Service = ServiceId("llm");
+  Made.m_Domain = DomainId(std::move(Domain));
+  Made.m_Address = {"127.0.0.1", 9000};
+  Made.m_StartedAt = 1;
+  return Made;
+}
+
+struct Fixture {
+  UpstreamPool m_Pool{{{DomainId("west-a"), RegionId("west")}, {DomainId("hill-a"), RegionId("hill")}}};
+  TimePoint m_Now{std::chrono::seconds(100)};
+  const UpstreamId m_Id{"a"};
+
+  bool usable() {
+    const PooledUpstream *Found = m_Pool.find(m_Id);
+    return Found && m_Pool.usable(*Found, m_Now);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "a draining upstream gets nothing") {
+  m_Pool.update(entry("a"), m_Now);
+  CHECK(usable());
+  RegisteredUpstream Leaving = entry("a");
+  Leaving.m_Draining = true;
+  m_Pool.update(Leaving, m_Now);
+  CHECK_FALSE(usable());
+}
+
+// Guards against taking all upstreams for gone because the store was away while their entries lapsed.
+TEST_CASE_FIXTURE(Fixture, "an entry that lapsed while the store was away has time to come back") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, milliseconds(2200));
+  CHECK(usable());
+  m_Now += milliseconds(1000);
+  m_Pool.update(entry("a"), m_Now);
+  m_Now += milliseconds(2000);
+  m_Pool.expire(m_Now);
+  CHECK(usable());
+  m_Pool.remove(m_Id, m_Now, milliseconds(2200));
+  m_Now += milliseconds(2200);
+  CHECK_FALSE(usable());
+  m_Pool.expire(m_Now);
+  CHECK_FALSE(m_Pool.find(m_Id));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a draining upstream's removal is final also after an outage of the store") {
+  RegisteredUpstream Leaving = entry("a");
+  Leaving.m_Draining = true;
+  m_Pool.update(Leaving, m_Now);
+  m_Pool.remove(m_Id, m_Now, milliseconds(2200));
+  CHECK_FALSE(m_Pool.find(m_Id));
+}
+
+TEST_CASE_FIXTURE(Fixture, "failures in a row eject an upstream, and a restart under its id clears them") {
+  m_Pool.update(entry("a"), m_Now);
+  for (int Failure = 0; Failure < 2; ++Failure) {
+    m_Pool.onSent(m_Id);
+    m_Pool.onEnded(m_Id, AttemptOutcome::TimedOut, m_Now);
+  }
+  CHECK(m_Pool.ejected(*m_Pool.find(m_Id), m_Now));
+  RegisteredUpstream Restarted = entry("a");
+  Restarted.m_StartedAt = 2;
+  m_Pool.update(Restarted, m_Now);
+  CHECK_FALSE(m_Pool.ejected(*m_Pool.find(m_Id), m_Now));
+}
+
+TEST_CASE_FIXTURE(Fixture, "after an ejection one request at a time tries the upstream") {
+  m_Pool.update(entry("a"), m_Now);
+  for (int Failure = 0; Failure < 2; ++Failure)
+    m_Pool.onEnded(m_Id, AttemptOutcome::Broken, m_Now);
+  m_Now += milliseconds(1001);
+  CHECK_FALSE(m_Pool.ejected(*m_Pool.find(m_Id), m_Now));
+  m_Pool.onSent(m_Id);
+  CHECK(m_Pool.ejected(*m_Pool.find(m_Id), m_Now));
+  m_Pool.onEnded(m_Id, AttemptOutcome::Answered, m_Now);
+  m_Pool.onSent(m_Id);
+  CHECK_FALSE(m_Pool.ejected(*m_Pool.find(m_Id), m_Now));
+}
+
+// Guards against full load on upstreams that were emptied or restarted while their domain was out.
+TEST_CASE_FIXTURE(Fixture, "a domain that is out gets nothing, and its upstreams are cold when it returns") {
+  m_Pool.update(entry("a", "hill-a"), m_Now);
+  m_Pool.setDomainsOut({DomainId("hill-a")}, m_Now);
+  CHECK_FALSE(usable());
+  m_Pool.setDomainsOut({}, m_Now);
+  CHECK(usable());
+  CHECK(m_Pool.cold(*m_Pool.find(m_Id), m_Now));
+}
+
+TEST_CASE_FIXTURE(Fixture, "reading the whole registry removes what it does not list") {
+  m_Pool.replaceAll({entry("a"), entry("b")}, m_Now, Duration::zero());
+  CHECK(m_Pool.size() == 2);
+  m_Pool.replaceAll({entry("b")}, m_Now, Duration::zero());
+  CHECK_FALSE(m_Pool.find(m_Id));
+  CHECK(m_Pool.ofService(ServiceId("llm")).size() == 1);
+}
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -86,6 +86,7 @@
   bool m_Whole = false;
   std::uint64_t m_Position = 0;
   std::vector<TrialStatus> m_Updated;
+  std::vector<TrialEvidence> m_Evidence;
 };
 
 /// @brief The store that all daemons share.
@@ -108,6 +109,8 @@
   /// @param Status m_RowVersion is the version that the row must have; 0 means that it must be absent
   /// @return error 604 if the row has another version; 602 and 603 if the write may still take effect
   virtual boost::asio::awaitable<Expected<Done>> writeTrial(TrialStatus Status) = 0;
+  /// @brief Tells the other daemons what this one has seen against a version.
+  virtual boost::asio::awaitable<Expected<Done>> writeEvidence(TrialEvidence Evidence) = 0;
   /// @brief Enters this daemon among the daemons.
   virtual boost::asio::awaitable<Expected<Done>> enterDaemon(InstanceId Id) = 0;
   virtual boost::asio::awaitable<Expected<Done>> removeDaemon(InstanceId Id) = 0;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -28,6 +28,9 @@
 /// Daemons act on a duty one after the other, so that usually only the first one calls the store.
 constexpr Duration DutyStagger = milliseconds(350);
 constexpr Duration DutyRetry = milliseconds(700);
+constexpr Duration EvidenceInterval = milliseconds(800);
+/// Evidence of several daemons comes in one call.
+constexpr Duration BetweenTrialWatches = milliseconds(250);
 
 std::string_view nameOf(TrialState State) {
   switch (State) {
@@ -118,10 +121,13 @@
 
   /// Roll-outs are watched only while one runs; their end is what the daemons have to learn from one another.
   static asio::awaitable<void> followTrials(std::shared_ptr<Impl> Self) {
-    Feed Trials{"trials", std::nullopt, Duration::zero(), false, BetweenWatches};
+    Feed Trials{"trials", std::nullopt, Duration::zero(), false, BetweenTrialWatches};
     while (!Self->m_Stopped) {
-      if (!Self->anyTrialRuns()) {
+      if (Self->m_ReadTrialsAgain) {
         Trials.m_Position.reset();
+        Self->m_ReadTrialsAgain = false;
+      }
+      if (!Self->anyTrialRuns()) {
         co_await sleepFor(Self->m_Context, DutyInterval);
         continue;
       }
@@ -211,6 +217,7 @@
     m_State.m_Trials.erase(Order.m_Service);
     m_State.m_Trials.emplace(Order.m_Service, VersionTrial(Order, m_Clock()));
     m_Announced.erase(Order.m_Service);
+    m_ReadTrialsAgain = true;
     m_Log.add(LogClass::State, "rollout_ordered",
               {{"service", std::string_view(Order.m_Service.value())},
                {"to", std::string_view(Order.m_To.value())},
@@ -259,8 +266,16 @@
                  {"to", std::string_view(Status.m_To.value())},
                  {"state", nameOf(Status.m_State)}});
     }
-    if (Changes.m_Whole)
-      m_StatusRead = true;
+    for (const TrialEvidence &Told : Changes.m_Evidence) {
+      VersionTrial *Trial = m_State.trialOf(Told.m_Service);
+      if (Trial && Told.m_OrderVersion == Trial->order().m_OrderVersion &&
+          Told.m_Daemon != m_State.m_Here.m_Instance)
+        Trial->onPeerEvidence(Told.m_Daemon, Told.m_Evidence, m_Clock());
+    }
+    if (!Changes.m_Whole || m_ReadTrialsAgain)
+      return;
+    for (auto &Entry : m_State.m_Trials)
+      Entry.second.confirm();
   }
 
   bool anyTrialRuns() const {
@@ -281,12 +296,14 @@
   void onDutyTick() {
     m_State.m_Pool.expire(m_Clock());
     m_Log.flush();
-    for (auto &Entry : m_State.m_Trials)
+    for (auto &Entry : m_State.m_Trials) {
       considerTrial(Entry.first, Entry.second);
+      tellEvidence(Entry.first, Entry.second);
+    }
   }
 
   void considerTrial(const ServiceId &Service, const VersionTrial &Trial) {
-    if (Trial.state() != TrialState::Running || !m_StatusRead || m_Writing)
+    if (Trial.state() != TrialState::Running || m_ReadTrialsAgain || m_Writing)
       return;
     const TimePoint Now = m_Clock();
     const TrialState Verdict = Trial.verdict(Now);
@@ -295,7 +312,7 @@
       return;
     }
     const TimePoint Since = m_DutySince.emplace(Service, Now).first->second;
-    const bool Urgent = Verdict == TrialState::RolledBack;
+    const bool Urgent = Verdict == TrialState::RolledBack && Trial.convinced();
     if (!Urgent && Now - Since < DutyStagger * rankFor(Service))
       return;
     if (Now < m_NextWrite)
@@ -306,6 +323,28 @@
                                 Trial.evidence()));
   }
 
+  void tellEvidence(const ServiceId &Service, VersionTrial &Trial) {
+    const TimePoint Now = m_Clock();
+    if (Trial.state() != TrialState::Running || Now < m_NextEvidence)
+      return;
+    const std::optional<double> News = Trial.takeNews();
+    if (!News)
+      return;
+    m_NextEvidence = Now + EvidenceInterval;
+    TrialEvidence Told{Service, Trial.order().m_To, Trial.order().m_OrderVersion, m_State.m_Here.m_Instance,
+                       *News};
+    spawn(m_Context, writeEvidence(shared_from_this(), std::move(Told)));
+  }
+
+  static asio::awaitable<void> writeEvidence(std::shared_ptr<Impl> Self, TrialEvidence Told) {
+    const Expected<Done> Written = co_await Self->m_Store.writeEvidence(Told);
+    const std::string Outcome = Written ? "written" : Written.error().toString();
+    Self->m_Log.add(LogClass::State, "rollout_evidence",
+                    {{"service", std::string_view(Told.m_Service.value())},
+                     {"evidence", Told.m_Evidence},
+                     {"outcome", std::string_view(Outcome)}});
+  }
+
   static asio::awaitable<void> writeTrial(std::shared_ptr<Impl> Self, TrialStatus Status, double Evidence) {
     Expected<Done> Written = co_await Self->m_Store.writeTrial(Status);
     Self->m_Writing = false;
@@ -333,9 +372,10 @@
   Ticker m_Duty;
   bool m_Stopped = false;
   std::optional<TimePoint> m_RegistryBackAt;
-  bool m_StatusRead = false;
+  bool m_ReadTrialsAgain = true; ///< A new order may have a status that was passed over before.
   bool m_Writing = false;
   TimePoint m_NextWrite{};
+  TimePoint m_NextEvidence{};
   std::set<ServiceId> m_Announced; ///< Roll-outs of whose order a status is known.
   std::map<ServiceId, TimePoint> m_DutySince;
   std::map<ServiceId, std::uint64_t> m_StatusVersions;
