--- a/packages/config/include/bulrushpitch/config/gateway_settings.h
+++ b/packages/config/include/bulrushpitch/config/gateway_settings.h
@@ -17,6 +17,7 @@
 struct GatewayBounds {
   double m_RetryShare = 0.1;    ///< Retries per request of a service.
   double m_RetryReserve = 10.0; ///< Retries beyond that, in any window.
+  double m_RetryWindow = 10.0;  ///< Seconds.
   double m_ColdFactor = 1.0;    ///< Of a cold upstream's stated rate.
   double m_ColdSlack = 0.0;     ///< Requests beyond that, in any second.
   bool operator==(const GatewayBounds &) const = default;
--- a/packages/config/src/gateway_settings.cpp
+++ b/packages/config/src/gateway_settings.cpp
@@ -11,6 +11,7 @@
   template <typename V, typename T> static void apply(V &Visit, T &Object) {
     Visit(between(optionalField("retry_share"), 0, 100), Object.m_RetryShare);
     Visit(between(optionalField("retry_reserve"), 0, 1'000'000), Object.m_RetryReserve);
+    Visit(between(optionalField("retry_window_seconds"), 0.1, 3'600), Object.m_RetryWindow);
     Visit(between(optionalField("cold_factor"), 0, 1'000), Object.m_ColdFactor);
     Visit(between(optionalField("cold_slack"), 0, 1'000'000), Object.m_ColdSlack);
   }
--- /dev/null
+++ b/packages/forward/tests/retry_window_test.cpp
@@ -0,0 +1,46 @@
+#include "bulrushpitch/forward/retry_window.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+using namespace bulrushpitch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against retries that multiply an overload: in no window may they exceed the bound.
+TEST_CASE("no window holds more retries than its requests allow") {
+  CHECK(rc::check([] {
+    const Duration Window = seconds(10);
+    RetryWindow Budget(Window, 0.5, 3.0);
+    TimePoint Now{seconds(1000)};
+    std::vector<TimePoint> Requests;
+    std::vector<TimePoint> Retries;
+    for (int Event = 0; Event < 300; ++Event) {
+      Now += milliseconds(*rc::gen::inRange(0, 400));
+      if (*rc::gen::inRange(0, 2) == 0) {
+        Budget.onRequest(Now);
+        Requests.push_back(Now);
+      } else if (Budget.takeRetry(Now)) {
+        Retries.push_back(Now);
+        const auto Within = [&](const std::vector<TimePoint> &Times) {
+          return std::count_if(Times.begin(), Times.end(), [&](TimePoint At) { return Now - At < Window; });
+        };
+        RC_ASSERT(static_cast<double>(Within(Retries)) <= 0.5 * static_cast<double>(Within(Requests)) + 3.0);
+      }
+    }
+  }));
+}
+
+// Guards against answers of too small a model because a burst found no saved-up retries.
+TEST_CASE("a burst of requests brings its own retries") {
+  RetryWindow Budget(seconds(10), 0.8, 4.0);
+  const TimePoint Now{seconds(1000)};
+  int Granted = 0;
+  for (int Request = 0; Request < 100; ++Request) {
+    Budget.onRequest(Now);
+    Granted += Budget.takeRetry(Now) ? 1 : 0;
+  }
+  CHECK(Granted >= 80);
+}
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -2,9 +2,9 @@
 #define BULRUSHPITCH_GATEWAY_GATEWAY_STATE_H
 
 #include "bulrushpitch/config/gateway_settings.h"
-#include "bulrushpitch/decision/retry_budget.h"
 #include "bulrushpitch/forward/directory.h"
 #include "bulrushpitch/forward/placement.h"
+#include "bulrushpitch/forward/retry_window.h"
 #include "bulrushpitch/forward/upstream_pool.h"
 #include "bulrushpitch/forward/version_trial.h"
 
@@ -31,7 +31,7 @@
     return Found == m_Trials.end() ? nullptr : &Found->second;
   }
   /// @return this daemon's share of the retries that all daemons may make to the service
-  RetryBudget &budgetOf(const ServiceId &Id);
+  RetryWindow &budgetOf(const ServiceId &Id);
   /// @return requests that one cold upstream of the service may get from all daemons in a second; 0: no limit
   double coldLimit(const ForwardService &Service) const {
     return Service.m_ColdPerSecond <= 0.0
@@ -50,7 +50,8 @@
 
 private:
   GatewayBounds m_Bounds;
-  std::map<ServiceId, RetryBudget> m_Budgets;
+  double retryReserve() const;
+  std::map<ServiceId, RetryWindow> m_Budgets;
 };
 
 } // namespace bulrushpitch
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -19,8 +19,10 @@
 constexpr Duration MostSilence = milliseconds(900);
 constexpr Duration LeastSilence = milliseconds(300);
 /// Part of the target latency that one attempt of a repeatable request may take to its head.
-constexpr double HeadShareOfTarget = 0.6;
+constexpr double HeadShareOfTarget = 0.75;
 constexpr Duration LeastHeadTimeout = milliseconds(250);
+/// A busy engine reads the prompts of others first, and starting again elsewhere costs the reading so far.
+constexpr Duration LeastStreamHeadTimeout = milliseconds(1500);
 /// Answers up to this size are read whole before the caller gets them, so that a broken one can be repeated.
 constexpr std::size_t MostBufferedBytes = 256UL * 1024UL;
 constexpr std::size_t MostEventBytes = 1024UL * 1024UL;
@@ -99,8 +101,7 @@
 }
 
 asio::awaitable<void> ForwardedRequest::run() {
-  RetryBudget &Budget = m_Parts.m_State.budgetOf(m_Service);
-  Budget.onRequest();
+  m_Parts.m_State.budgetOf(m_Service).onRequest(m_ArrivedAt);
   while (!m_CallerGone) {
     const Placement Place = choosePlace();
     m_NoPlace = !Place.m_Upstream;
@@ -129,7 +130,7 @@
   if (Last == AttemptOutcome::Dropped)
     return true; // Its place in the budget was taken when it was dropped.
   // A request that never left does not load the service.
-  return Last == AttemptOutcome::NotSent || m_Parts.m_State.budgetOf(m_Service).takeRetry().hasValue();
+  return Last == AttemptOutcome::NotSent || m_Parts.m_State.budgetOf(m_Service).takeRetry(m_Parts.m_Clock());
 }
 
 RetryState ForwardedRequest::retryState() const {
@@ -181,7 +182,8 @@
   if (mayRetry(AfterThis, AttemptOutcome::TimedOut)) {
     const Duration Target = m_Route->m_TargetLatency;
     const Duration Share = std::chrono::duration_cast<Duration>(Target * HeadShareOfTarget);
-    Options.m_HeadTimeout = std::min(Left, std::max(LeastHeadTimeout, Share));
+    const Duration Least = streams() ? LeastStreamHeadTimeout : LeastHeadTimeout;
+    Options.m_HeadTimeout = std::min(Left, std::max(Least, Share));
   }
   Options.m_Handle = m_Handle;
   Options.m_Belongs = [this](const HttpHeaders &Headers) {
@@ -210,6 +212,8 @@
   m_Handle = std::make_shared<CallHandle>();
   HttpRequest Sent = m_Parts.m_Translation.m_ToUpstream(m_Request, upstreamCall(Target));
   CallOptions Options = callOptions();
+  m_AskedModel = m_Model;
+  m_Confidence = 0;
   m_SentAt = m_Parts.m_Clock();
   m_HeadTook = Duration::zero();
   m_Parts.m_State.m_Pool.onSent(Id);
@@ -246,12 +250,13 @@
   Given.m_Model = m_Model;
   Given.m_Confidence = Read.m_Confidence;
   Given.m_UntilTarget = m_ArrivedAt + m_Route->m_TargetLatency - m_Parts.m_Clock();
-  Given.m_HeadTook = m_HeadTook;
+  Given.m_UntilDeadline = left();
   if (m_Caller.m_AnyModel && !m_Writer.begun())
     Given.m_Models = m_Route->m_Models;
+  m_Confidence = Read.m_Confidence.value_or(0);
   const EscalationDecision Larger = escalate(Given);
   if (Larger.m_Model && m_Sent < m_Route->m_MaxAttempts && left() > Duration::zero() &&
-      m_Parts.m_State.budgetOf(m_Service).takeRetry()) {
+      m_Parts.m_State.budgetOf(m_Service).takeRetry(m_Parts.m_Clock())) {
     m_Model = *Larger.m_Model;
     m_Escalated = true;
     m_Tried.clear();
@@ -390,7 +395,8 @@
                      {"upstream", std::string_view(Target.value())},
                      {"version", std::string_view(Version.value())},
                      {"outcome", nameOf(Outcome)},
-                     {"model", static_cast<std::int64_t>(m_Model)},
+                     {"model", static_cast<std::int64_t>(m_AskedModel)},
+                     {"confidence", static_cast<std::int64_t>(m_Confidence)},
                      {"head_ms", std::chrono::duration<double, std::milli>(m_HeadTook).count()}});
   VersionTrial *Trial = m_Parts.m_State.trialOf(m_Service);
   const bool Good = Outcome == AttemptOutcome::Answered || Outcome == AttemptOutcome::Dropped;
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -75,6 +75,8 @@
   bool m_MayHaveRun = false;
   std::size_t m_Model = 0; ///< Index into the route's models.
   bool m_Escalated = false;
+  std::size_t m_AskedModel = 0; ///< Of the attempt under way, for the log.
+  int m_Confidence = 0;       ///< Of the last answer, for the log.
   bool m_FailedOnNew = false; ///< An attempt failed on a version under trial.
   AttemptOutcome m_Last = AttemptOutcome::NotSent;
   NoPlace m_Obstacle = NoPlace::NoUpstream;
