Placing: a prompt goes where it is read first

Cause: prompts of up to 54,000 tokens occupy an engine for 0.3 to 2.4 s; counting requests sent short ones behind them. The time to read a prompt is learnt by model; a prompt leaves the engine that has read its shared part when another one is faster in spite of reading it again. TCP_USER_TIMEOUT of 1 s finds engines that are silent.

--- a/packages/forward/include/bulrushpitch/forward/model_choice.h
+++ b/packages/forward/include/bulrushpitch/forward/model_choice.h
@@ -16,8 +16,8 @@
   std::vector<ModelId> m_Models;   ///< Of the route, smallest first.
   std::size_t m_Model = 0;         ///< Index of the one that answered.
   std::optional<int> m_Confidence; ///< The model's opinion of its answer, 0 to 100.
-  Duration m_UntilTarget{};   ///< Left until the answer counts as late.
-  Duration m_UntilDeadline{}; ///< Left until the caller gets no answer at all.
+  Duration m_UntilTarget{};        ///< Left until the answer counts as late.
+  Duration m_UntilDeadline{};      ///< Left until the caller gets no answer at all.
 };
 
 /// @brief What to do with an answer of a model.
--- a/packages/forward/include/bulrushpitch/forward/placement.h
+++ b/packages/forward/include/bulrushpitch/forward/placement.h
@@ -27,8 +27,9 @@
   std::vector<RegionId> m_Regions;         ///< Where it may run; empty: anywhere.
   std::vector<RegionId> m_TeamRegions;     ///< Also binding; empty: anywhere.
   std::optional<std::uint64_t> m_Affinity; ///< Requests with the same value profit from the same upstream.
-  std::vector<UpstreamId> m_Tried;         ///< Upstreams that this request was already sent to.
-  double m_ColdPerSecond = 0.0;            ///< What a cold upstream bears from all daemons; 0: no limit.
+  Duration m_SharedWork{}; ///< Time that the upstream of the affinity saves, as it has read the shared part.
+  std::vector<UpstreamId> m_Tried; ///< Upstreams that this request was already sent to.
+  double m_ColdPerSecond = 0.0;    ///< What a cold upstream bears from all daemons; 0: no limit.
 };
 
 /// @brief Where this daemon stands.
@@ -55,11 +56,12 @@
 
 /// @brief Chooses an upstream.
 ///
-/// With affinity, requests of one key go to one upstream (rendezvous hashing) until it holds clearly more of
-/// this daemon's requests than the others; this answers a key that is asked for far more often than others.
-/// Without, the least expected wait decides: network distance and the queue at the upstream, estimated from
-/// this daemon's own requests, as all daemons carry like shares. This answers short calls to few upstreams.
-/// Another region is chosen only if the own one has no place.
+/// With affinity, each key has an upstream (rendezvous hashing) that has read the shared part of its prompts.
+/// It is chosen unless it has so much more to read for this daemon than another one that reading the shared
+/// part there again is faster; this answers long prompts, and a key that is asked for far more often than
+/// others. Without, the least expected wait decides: network distance and the queue at the upstream,
+/// estimated from this daemon's own requests, as all daemons carry like shares. This answers short calls to
+/// few upstreams. Another region is chosen only if the own one has no place.
 /// @complexity linear in the number of the service's upstreams
 Placement place(UpstreamPool &Pool, const PlacementQuery &Query, const PlacementContext &Here, TimePoint Now);
 
--- a/packages/forward/include/bulrushpitch/forward/upstream_pool.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_pool.h
@@ -20,6 +20,7 @@
   RegisteredUpstream m_Entry;
   RegionId m_Region;
   std::uint32_t m_InFlight = 0; ///< Requests of this daemon.
+  Duration m_PendingWork{};     ///< Expected time to the first events of this daemon's requests.
   TimePoint m_ColdUntil{};
   TimePoint m_EjectedUntil{}; ///< Gets no requests before, because it failed.
   std::uint32_t m_FailedInRow = 0;
@@ -50,7 +51,10 @@
 
   /// @name Own requests
   /// @{
-  void onSent(const UpstreamId &Id);
+  /// @param Work expected time that the upstream reads the request's prompt
+  void onSent(const UpstreamId &Id, Duration Work = Duration::zero());
+  /// @brief Takes back the work of a request whose answer has begun, or that has ended without.
+  void onWorkDone(const UpstreamId &Id, Duration Work);
   /// @brief Counts an attempt's end towards the upstream's health.
   void onEnded(const UpstreamId &Id, AttemptOutcome Outcome, TimePoint Now);
   /// @}
--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -10,9 +10,10 @@
 
 namespace {
 
-/// Load above the mean at which affinity gives way.
-constexpr double OverloadFactor = 1.5;
-constexpr double OverloadSlack = 3.0;
+/// What a running request adds to the wait of others: each one slows the batch a little.
+constexpr Duration RunningRequestTime = std::chrono::milliseconds(3);
+/// Keeps short prompts with equal waits at the upstream of their affinity.
+constexpr Duration LeavingHomeTime = std::chrono::milliseconds(5);
 /// Weight of upstreams in the own failure domain: traffic between domains costs.
 constexpr double OwnDomainWeight = 2.0;
 /// Expected costs of distance and of a place in the queue, in milliseconds.
@@ -72,22 +73,26 @@
   return Wait;
 }
 
-PooledUpstream *byAffinity(const std::vector<PooledUpstream *> &Candidates, std::uint64_t Key,
+PooledUpstream *byAffinity(const std::vector<PooledUpstream *> &Candidates, const PlacementQuery &Query,
                            const PlacementContext &Here) {
-  double Load = 0.0;
-  for (const PooledUpstream *Candidate : Candidates)
-    Load += Candidate->m_InFlight;
-  const double Bound = OverloadFactor * Load / static_cast<double>(Candidates.size()) + OverloadSlack;
-  PooledUpstream *Best = nullptr;
-  double BestScore = -std::numeric_limits<double>::infinity();
+  PooledUpstream *Home = nullptr;
+  double HomeScore = -std::numeric_limits<double>::infinity();
   for (PooledUpstream *Candidate : Candidates) {
-    const double Score = affinityScore(*Candidate, Key, Here);
-    if (Candidate->m_InFlight <= Bound && Score > BestScore) {
-      Best = Candidate;
-      BestScore = Score;
+    const double Score = affinityScore(*Candidate, *Query.m_Affinity, Here);
+    if (Score > HomeScore) {
+      Home = Candidate;
+      HomeScore = Score;
     }
   }
-  return Best;
+  const auto Cost = [&](const PooledUpstream &Candidate) {
+    Duration Wait = Candidate.m_PendingWork + RunningRequestTime * Candidate.m_InFlight;
+    if (&Candidate != Home)
+      Wait += Query.m_SharedWork + LeavingHomeTime;
+    return Wait;
+  };
+  return *std::min_element(
+      Candidates.begin(), Candidates.end(),
+      [&](const PooledUpstream *Left, const PooledUpstream *Right) { return Cost(*Left) < Cost(*Right); });
 }
 
 PooledUpstream *byWait(const std::vector<PooledUpstream *> &Candidates, const PlacementContext &Here) {
@@ -131,10 +136,7 @@
     prefer(Candidates, [&](const PooledUpstream &Candidate) { return Candidate.m_Region == Here.m_Region; });
     prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.cold(Candidate, Now); });
   }
-  PooledUpstream *Chosen =
-      Query.m_Affinity ? byAffinity(Candidates, *Query.m_Affinity, Here) : byWait(Candidates, Here);
-  if (!Chosen)
-    Chosen = byWait(Candidates, Here);
+  PooledUpstream *Chosen = Query.m_Affinity ? byAffinity(Candidates, Query, Here) : byWait(Candidates, Here);
   if (Query.m_ColdPerSecond > 0.0 && Pool.cold(*Chosen, Now))
     Chosen->m_ColdPacer.take(Now, coldShare(*Chosen, Query, Here));
   return {Chosen, Obstacle, Query.m_Affinity ? "affinity" : "least wait"};
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -94,9 +94,17 @@
   m_Out = Out;
 }
 
-void UpstreamPool::onSent(const UpstreamId &Id) {
+void UpstreamPool::onSent(const UpstreamId &Id, Duration Work) {
+  PooledUpstream *Target = find(Id);
+  if (!Target)
+    return;
+  ++Target->m_InFlight;
+  Target->m_PendingWork += Work;
+}
+
+void UpstreamPool::onWorkDone(const UpstreamId &Id, Duration Work) {
   if (PooledUpstream *Target = find(Id))
-    ++Target->m_InFlight;
+    Target->m_PendingWork = std::max(Duration::zero(), Target->m_PendingWork - Work);
 }
 
 void UpstreamPool::onEnded(const UpstreamId &Id, AttemptOutcome Outcome, TimePoint Now) {
--- a/packages/forward/tests/placement_test.cpp
+++ b/packages/forward/tests/placement_test.cpp
@@ -61,7 +61,7 @@
   for (int Request = 0; Request < 80; ++Request) {
     PooledUpstream *Chosen = choose();
     REQUIRE(Chosen);
-    m_Pool.onSent(Chosen->m_Entry.m_Id);
+    m_Pool.onSent(Chosen->m_Entry.m_Id, milliseconds(50));
     ++Sent[Chosen->m_Entry.m_Id];
   }
   CHECK(Sent.size() >= 5);
@@ -69,6 +69,19 @@
     CHECK(Entry.second <= 20);
 }
 
+// Guards against reading a long shared part again though its upstream is hardly busier than others.
+TEST_CASE_FIXTURE(World,
+                  "a prompt waits for the upstream that has read its shared part as long as that is faster") {
+  m_Query.m_Affinity = 42;
+  m_Query.m_SharedWork = milliseconds(200);
+  PooledUpstream *Home = choose();
+  REQUIRE(Home);
+  Home->m_PendingWork = milliseconds(150);
+  CHECK(choose() == Home);
+  Home->m_PendingWork = milliseconds(250);
+  CHECK(choose() != Home);
+}
+
 TEST_CASE_FIXTURE(World, "short calls leave a full upstream, and the own region last") {
   std::map<RegionId, int> Regions;
   for (int Request = 0; Request < 120; ++Request) {
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -4,6 +4,7 @@
 #include "bulrushpitch/config/gateway_settings.h"
 #include "bulrushpitch/forward/directory.h"
 #include "bulrushpitch/forward/placement.h"
+#include "bulrushpitch/forward/reading_time.h"
 #include "bulrushpitch/forward/retry_window.h"
 #include "bulrushpitch/forward/upstream_pool.h"
 #include "bulrushpitch/forward/version_trial.h"
@@ -47,6 +48,7 @@
   std::map<ServiceId, VersionTrial> m_Trials;
   std::set<DomainId> m_DomainsOut;
   PlacementContext m_Here;
+  ReadingTime m_ReadingTime;
 
 private:
   GatewayBounds m_Bounds;
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -25,6 +25,8 @@
   std::string m_AttemptId;            ///< The caller's id of this attempt; the upstream's answer repeats it.
   std::optional<Duration> m_Patience; ///< How long the caller waits from now on.
   std::string m_Key;                  ///< Empty if it carries none.
+  Tokens m_PromptTokens;              ///< 0 if it states none.
+  Tokens m_SharedTokens;              ///< Of the prompt's parts that others share.
   std::optional<std::uint64_t> m_PromptHash; ///< Hash of the last part of the prompt that others share.
   std::optional<std::string> m_Session;
   std::optional<std::uint64_t> m_AfterEvent; ///< The caller already has a stream's events up to this id.
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -154,6 +154,7 @@
   if (m_Team)
     Query.m_TeamRegions = m_Team->m_Regions;
   Query.m_Affinity = m_Caller.m_PromptHash;
+  Query.m_SharedWork = State.m_ReadingTime.expected(askedModel(), m_Caller.m_SharedTokens);
   Query.m_Tried = m_Tried;
   if (const VersionTrial *Trial = State.trialOf(m_Service)) {
     const std::uint64_t Key = m_Caller.m_Session ? stableHash(*m_Caller.m_Session) : mixHash(m_Hash, 2);
@@ -173,6 +174,15 @@
   return place(State.m_Pool, Query, State.m_Here, Now);
 }
 
+ModelId ForwardedRequest::askedModel() const {
+  return m_Caller.m_AnyModel && !m_Route->m_Models.empty() ? m_Route->m_Models[m_Model] : ModelId();
+}
+
+void ForwardedRequest::endWork(const UpstreamId &Target) {
+  m_Parts.m_State.m_Pool.onWorkDone(Target, m_Work);
+  m_Work = Duration::zero();
+}
+
 CallOptions ForwardedRequest::callOptions() const {
   CallOptions Options;
   const Duration Left = std::max(left(), Duration::zero());
@@ -216,12 +226,16 @@
   m_Confidence = 0;
   m_SentAt = m_Parts.m_Clock();
   m_HeadTook = Duration::zero();
-  m_Parts.m_State.m_Pool.onSent(Id);
+  const ModelId Asked = askedModel();
+  m_Work = m_Parts.m_State.m_ReadingTime.expected(Asked, m_Caller.m_PromptTokens);
+  m_Parts.m_State.m_Pool.onSent(Id, m_Work);
   ++m_Sent;
   Expected<Head> Opened = co_await m_Parts.m_Upstreams.open(Address, std::move(Sent), std::move(Options));
   if (!Opened)
     co_return outcomeOf(Opened.error());
   m_HeadTook = m_Parts.m_Clock() - m_SentAt;
+  m_Parts.m_State.m_ReadingTime.record(Asked, m_Caller.m_PromptTokens, m_HeadTook);
+  endWork(Id);
   co_return co_await judge(**Opened);
 }
 
@@ -382,6 +396,7 @@
 }
 
 void ForwardedRequest::noteEnd(const UpstreamId &Target, const VersionId &Version, AttemptOutcome Outcome) {
+  endWork(Target);
   m_Parts.m_State.m_Pool.onEnded(Target, Outcome, m_Parts.m_Clock());
   m_Handle.reset();
   if (Outcome == AttemptOutcome::NotSent) {
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -47,6 +47,8 @@
   bool mayGoOn(AttemptOutcome Last);
   CallOptions callOptions() const;
   Duration silenceTimeout() const;
+  ModelId askedModel() const;
+  void endWork(const UpstreamId &Target);
   UpstreamCall upstreamCall(const PooledUpstream &Target) const;
   void noteEnd(const UpstreamId &Target, const VersionId &Version, AttemptOutcome Outcome);
   RetryState retryState() const;
@@ -76,12 +78,13 @@
   std::size_t m_Model = 0; ///< Index into the route's models.
   bool m_Escalated = false;
   std::size_t m_AskedModel = 0; ///< Of the attempt under way, for the log.
-  int m_Confidence = 0;       ///< Of the last answer, for the log.
-  bool m_FailedOnNew = false; ///< An attempt failed on a version under trial.
+  int m_Confidence = 0;         ///< Of the last answer, for the log.
+  bool m_FailedOnNew = false;   ///< An attempt failed on a version under trial.
   AttemptOutcome m_Last = AttemptOutcome::NotSent;
   NoPlace m_Obstacle = NoPlace::NoUpstream;
   bool m_NoPlace = false;
   TimePoint m_SentAt{};
+  Duration m_Work{}; ///< Of the attempt under way, as noted at its upstream.
   Duration m_HeadTook{};
   std::optional<HttpResponse> m_Failure; ///< The upstream's own failure, kept in case no attempt succeeds.
   EventSequence m_Sequence;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -36,9 +36,9 @@
 constexpr std::uint64_t MaxBodyBytes = 1ULL << 32U;
 /// A server closes at the end of the idle time that it announces; a request must not cross that.
 constexpr std::chrono::milliseconds IdleMargin{500};
-/// A peer that acknowledges nothing for so long is taken as gone. Covers a few retransmissions on a lossy
-/// link.
-constexpr unsigned UnacknowledgedMs = 3000;
+/// A peer that acknowledges nothing for so long is taken as gone, while one that is only slow acknowledges.
+/// Covers a few retransmissions on a lossy link.
+constexpr unsigned UnacknowledgedMs = 1000;
 constexpr int KeepAliveProbeSeconds = 1;
 constexpr int KeepAliveProbes = 3;
 
