The last attempt waits until the deadline; patience with engines that are at work

Test: 'the last attempt waits until the deadline' (red before).

Change: an engine that sends anything to anyone gets more time; attempts at engines that have ended are not counted; the expected time of the largest model decides whether it comes in time.

--- a/packages/forward/include/bulrushpitch/forward/model_choice.h
+++ b/packages/forward/include/bulrushpitch/forward/model_choice.h
@@ -18,6 +18,7 @@
   std::optional<int> m_Confidence; ///< The model's opinion of its answer, 0 to 100.
   Duration m_UntilTarget{};        ///< Left until the answer counts as late.
   Duration m_UntilDeadline{};      ///< Left until the caller gets no answer at all.
+  Duration m_LargestTakes{};       ///< Expected time of the largest model to its first event.
 };
 
 /// @brief What to do with an answer of a model.
--- a/packages/forward/include/bulrushpitch/forward/upstream_pool.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_pool.h
@@ -22,7 +22,9 @@
   std::uint32_t m_InFlight = 0; ///< Requests of this daemon.
   Duration m_PendingWork{};     ///< Expected time to the first events of this daemon's requests.
   TimePoint m_ColdUntil{};
-  TimePoint m_EjectedUntil{}; ///< Gets no requests before, because it failed.
+  TimePoint m_EjectedUntil{};  ///< Gets no requests before, because it failed.
+  TimePoint m_HeardAt{};       ///< When anything came from it last, for any request.
+  TimePoint m_UnreachableAt{}; ///< When a connection to it failed last, if none has been made since.
   std::uint32_t m_FailedInRow = 0;
   double m_FailureRate = 0.0;          ///< Of the newest answers, weighted by age.
   std::optional<TimePoint> m_LapsesAt; ///< Its entry vanished while the store was away.
@@ -55,6 +57,12 @@
   void onSent(const UpstreamId &Id, Duration Work = Duration::zero());
   /// @brief Takes back the work of a request whose answer has begun, or that has ended without.
   void onWorkDone(const UpstreamId &Id, Duration Work);
+  /// @brief Notes that something came from the upstream.
+  void onHeard(const UpstreamId &Id, TimePoint Now);
+  /// @return whether something came from the upstream so lately that it is at work
+  bool alive(const UpstreamId &Id, TimePoint Now) const;
+  /// @return whether the upstream has ended: it is no longer registered, or takes no connections
+  bool ended(const UpstreamId &Id, TimePoint Now) const;
   /// @brief Counts an attempt's end towards the upstream's health.
   void onEnded(const UpstreamId &Id, AttemptOutcome Outcome, TimePoint Now);
   /// @}
--- a/packages/forward/src/model_choice.cpp
+++ b/packages/forward/src/model_choice.cpp
@@ -1,5 +1,7 @@
 #include "bulrushpitch/forward/model_choice.h"
 
+#include <algorithm>
+
 namespace bulrushpitch {
 
 namespace {
@@ -8,8 +10,8 @@
 constexpr int KeepFromConfidence = 58;
 /// Below this one an answer is almost surely wrong: a right one that comes late is worth more.
 constexpr int HopelessBelowConfidence = 45;
-/// Time that the largest model usually needs to its first event.
-constexpr Duration LargeModelTime = std::chrono::milliseconds(500);
+/// The largest model needs at least so long to its first event.
+constexpr Duration LeastLargeModelTime = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -22,10 +24,11 @@
     return {std::nullopt, "no confidence stated"};
   if (*Answer.m_Confidence >= KeepFromConfidence)
     return {std::nullopt, "confident"};
-  const bool InTime = Answer.m_UntilTarget >= LargeModelTime;
+  const Duration Takes = std::max(LeastLargeModelTime, Answer.m_LargestTakes);
+  const bool InTime = Answer.m_UntilTarget >= Takes;
   if (!InTime && *Answer.m_Confidence >= HopelessBelowConfidence)
     return {std::nullopt, "too late for a larger model"};
-  if (Answer.m_UntilDeadline < 2 * LargeModelTime)
+  if (Answer.m_UntilDeadline < 2 * Takes)
     return {std::nullopt, "no time left"};
   return {Answer.m_Models.size() - 1, "low confidence"};
 }
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -12,6 +12,10 @@
 constexpr Duration ColdMargin = milliseconds(500);
 /// Upstreams of a domain that returns may have been emptied or restarted meanwhile.
 constexpr Duration ColdAfterReturn = milliseconds(4000);
+/// A busy upstream sends something to one of many requests at least so often.
+constexpr Duration AliveFor = milliseconds(500);
+/// How long a failed connection says that the upstream has ended.
+constexpr Duration UnreachableFor = milliseconds(5000);
 constexpr std::uint32_t FailuresToEject = 2;
 constexpr Duration FirstEjection = milliseconds(1000);
 constexpr Duration LongestEjection = milliseconds(8000);
@@ -107,10 +111,30 @@
     Target->m_PendingWork = std::max(Duration::zero(), Target->m_PendingWork - Work);
 }
 
+void UpstreamPool::onHeard(const UpstreamId &Id, TimePoint Now) {
+  if (PooledUpstream *Target = find(Id)) {
+    Target->m_HeardAt = Now;
+    Target->m_UnreachableAt = TimePoint{};
+  }
+}
+
+bool UpstreamPool::alive(const UpstreamId &Id, TimePoint Now) const {
+  const auto Found = m_Upstreams.find(Id);
+  return Found != m_Upstreams.end() && Now - Found->second.m_HeardAt < AliveFor;
+}
+
+bool UpstreamPool::ended(const UpstreamId &Id, TimePoint Now) const {
+  const auto Found = m_Upstreams.find(Id);
+  return Found == m_Upstreams.end() || (Found->second.m_UnreachableAt != TimePoint{} &&
+                                        Now - Found->second.m_UnreachableAt < UnreachableFor);
+}
+
 void UpstreamPool::onEnded(const UpstreamId &Id, AttemptOutcome Outcome, TimePoint Now) {
   PooledUpstream *Target = find(Id);
   if (!Target)
     return;
+  if (Outcome == AttemptOutcome::NotSent)
+    Target->m_UnreachableAt = Now;
   if (Target->m_InFlight > 0)
     --Target->m_InFlight;
   if (Outcome == AttemptOutcome::CallerGone)
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -21,6 +21,11 @@
 /// Part of the target latency that one attempt of a repeatable request may take to its head.
 constexpr double HeadShareOfTarget = 0.75;
 constexpr Duration LeastHeadTimeout = milliseconds(250);
+/// An upstream that is at work for others gets more time, in steps, up to a share of the target latency.
+constexpr Duration HeadExtension = milliseconds(300);
+constexpr double MostHeadShareOfTarget = 1.5;
+/// A stream's upstream that is at work for others may be silent for so long.
+constexpr Duration MostSilenceWhileAlive = milliseconds(2500);
 /// A busy engine reads the prompts of others first, and starting again elsewhere costs the reading so far.
 constexpr Duration LeastStreamHeadTimeout = milliseconds(1500);
 /// Answers up to this size are read whole before the caller gets them, so that a broken one can be repeated.
@@ -137,7 +142,7 @@
   RetryState State;
   State.m_Kind = m_Route->m_Kind;
   State.m_Resumable = m_Route->m_Resumable;
-  State.m_Sent = m_Sent;
+  State.m_Sent = countedAttempts();
   State.m_MaxAttempts = m_Route->m_MaxAttempts;
   State.m_NotSent = m_NotSent;
   State.m_Left = left();
@@ -183,18 +188,36 @@
   m_Work = Duration::zero();
 }
 
-CallOptions ForwardedRequest::callOptions() const {
+std::uint32_t ForwardedRequest::countedAttempts() const {
+  const TimePoint Now = m_Parts.m_Clock();
+  const UpstreamPool &Pool = m_Parts.m_State.m_Pool;
+  return static_cast<std::uint32_t>(std::count_if(
+      m_SentTo.begin(), m_SentTo.end(), [&](const UpstreamId &Id) { return !Pool.ended(Id, Now); }));
+}
+
+Duration ForwardedRequest::moreTimeForHead(const UpstreamId &Target) const {
+  const TimePoint Now = m_Parts.m_Clock();
+  const Duration Most =
+      std::chrono::duration_cast<Duration>(m_Route->m_TargetLatency * MostHeadShareOfTarget);
+  const Duration Waited = Now - m_SentAt;
+  if (!m_Parts.m_State.m_Pool.alive(Target, Now) || Waited >= Most)
+    return Duration::zero();
+  return std::min({HeadExtension, Most - Waited, left()});
+}
+
+CallOptions ForwardedRequest::callOptions(const UpstreamId &Target) const {
   CallOptions Options;
   const Duration Left = std::max(left(), Duration::zero());
   Options.m_ConnectTimeout = std::min(ConnectTimeout, Left);
   Options.m_HeadTimeout = Left;
   RetryState AfterThis = retryState();
   if (mayRetry(AfterThis, AttemptOutcome::TimedOut)) {
-    const Duration Target = m_Route->m_TargetLatency;
-    const Duration Share = std::chrono::duration_cast<Duration>(Target * HeadShareOfTarget);
+    const Duration Latency = m_Route->m_TargetLatency;
+    const Duration Share = std::chrono::duration_cast<Duration>(Latency * HeadShareOfTarget);
     const Duration Least = streams() ? LeastStreamHeadTimeout : LeastHeadTimeout;
     Options.m_HeadTimeout = std::min(Left, std::max(Least, Share));
   }
+  Options.m_OnHeadTimeout = [this, Target] { return moreTimeForHead(Target); };
   Options.m_Handle = m_Handle;
   Options.m_Belongs = [this](const HttpHeaders &Headers) {
     return m_Parts.m_Translation.m_Belongs(Headers, m_Caller.m_AttemptId);
@@ -221,7 +244,9 @@
   m_Tried.push_back(Id);
   m_Handle = std::make_shared<CallHandle>();
   HttpRequest Sent = m_Parts.m_Translation.m_ToUpstream(m_Request, upstreamCall(Target));
-  CallOptions Options = callOptions();
+  ++m_Sent;
+  m_SentTo.push_back(Id);
+  CallOptions Options = callOptions(Id);
   m_AskedModel = m_Model;
   m_Confidence = 0;
   m_SentAt = m_Parts.m_Clock();
@@ -229,11 +254,11 @@
   const ModelId Asked = askedModel();
   m_Work = m_Parts.m_State.m_ReadingTime.expected(Asked, m_Caller.m_PromptTokens);
   m_Parts.m_State.m_Pool.onSent(Id, m_Work);
-  ++m_Sent;
   Expected<Head> Opened = co_await m_Parts.m_Upstreams.open(Address, std::move(Sent), std::move(Options));
   if (!Opened)
     co_return outcomeOf(Opened.error());
   m_HeadTook = m_Parts.m_Clock() - m_SentAt;
+  m_Parts.m_State.m_Pool.onHeard(Id, m_Parts.m_Clock());
   m_Parts.m_State.m_ReadingTime.record(Asked, m_Caller.m_PromptTokens, m_HeadTook);
   endWork(Id);
   co_return co_await judge(**Opened);
@@ -265,11 +290,14 @@
   Given.m_Confidence = Read.m_Confidence;
   Given.m_UntilTarget = m_ArrivedAt + m_Route->m_TargetLatency - m_Parts.m_Clock();
   Given.m_UntilDeadline = left();
+  if (!m_Route->m_Models.empty())
+    Given.m_LargestTakes =
+        m_Parts.m_State.m_ReadingTime.expected(m_Route->m_Models.back(), m_Caller.m_PromptTokens);
   if (m_Caller.m_AnyModel && !m_Writer.begun())
     Given.m_Models = m_Route->m_Models;
   m_Confidence = Read.m_Confidence.value_or(0);
   const EscalationDecision Larger = escalate(Given);
-  if (Larger.m_Model && m_Sent < m_Route->m_MaxAttempts && left() > Duration::zero() &&
+  if (Larger.m_Model && countedAttempts() < m_Route->m_MaxAttempts && left() > Duration::zero() &&
       m_Parts.m_State.budgetOf(m_Service).takeRetry(m_Parts.m_Clock())) {
     m_Model = *Larger.m_Model;
     m_Escalated = true;
@@ -374,14 +402,27 @@
   co_return std::nullopt;
 }
 
+bool ForwardedRequest::waitsOn(const Error &Failure, const UpstreamId &Target, TimePoint HeardAt) const {
+  const TimePoint Now = m_Parts.m_Clock();
+  return Failure.m_Code == ErrorCode::UpstreamTimeout && left() > Duration::zero() &&
+         Now - HeardAt < MostSilenceWhileAlive && m_Parts.m_State.m_Pool.alive(Target, Now);
+}
+
 asio::awaitable<AttemptOutcome> ForwardedRequest::relayEvents(HttpStream &Answer) {
   EventSplitter Events;
+  const UpstreamId Target = m_SentTo.back();
+  TimePoint HeardAt = m_Parts.m_Clock();
   while (true) {
     Expected<std::optional<std::string>> Part = co_await Answer.read(silenceTimeout());
+    const TimePoint Now = m_Parts.m_Clock();
+    if (!Part && waitsOn(Part.error(), Target, HeardAt))
+      continue;
     if (!Part)
       co_return outcomeOf(Part.error());
     if (!*Part)
       break;
+    HeardAt = Now;
+    m_Parts.m_State.m_Pool.onHeard(Target, Now);
     Events.feed(**Part);
     const std::optional<AttemptOutcome> Ended = co_await forwardEvents(Answer, Events);
     if (Ended)
@@ -402,6 +443,7 @@
   if (Outcome == AttemptOutcome::NotSent) {
     ++m_NotSent;
     --m_Sent;
+    m_SentTo.pop_back();
   }
   if (!certainlyNotRun(Outcome))
     m_MayHaveRun = true;
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -37,6 +37,9 @@
   boost::asio::awaitable<AttemptOutcome> keepFailure(HttpStream &Answer);
   boost::asio::awaitable<AttemptOutcome> relayWhole(HttpStream &Answer);
   boost::asio::awaitable<AttemptOutcome> relayRest(HttpStream &Answer, std::string Begun);
+  /// @return whether a stream that was silent for its timeout is waited for: its upstream is at work for
+  /// others
+  bool waitsOn(const Error &Failure, const UpstreamId &Target, TimePoint HeardAt) const;
   boost::asio::awaitable<AttemptOutcome> relayEvents(HttpStream &Answer);
   boost::asio::awaitable<std::optional<AttemptOutcome>> forwardEvents(HttpStream &Answer,
                                                                       EventSplitter &Events);
@@ -45,12 +48,14 @@
   boost::asio::awaitable<void> fail();
 
   bool mayGoOn(AttemptOutcome Last);
-  CallOptions callOptions() const;
+  CallOptions callOptions(const UpstreamId &Target) const;
   Duration silenceTimeout() const;
   ModelId askedModel() const;
   void endWork(const UpstreamId &Target);
   UpstreamCall upstreamCall(const PooledUpstream &Target) const;
   void noteEnd(const UpstreamId &Target, const VersionId &Version, AttemptOutcome Outcome);
+  std::uint32_t countedAttempts() const;
+  Duration moreTimeForHead(const UpstreamId &Target) const;
   RetryState retryState() const;
   Duration left() const { return m_Deadline - m_Parts.m_Clock(); }
   bool streams() const { return m_Route->m_Kind == RequestKind::Stream; }
@@ -72,6 +77,7 @@
   std::shared_ptr<CallHandle> m_Handle; ///< Of the attempt under way.
   bool m_CallerGone = false;
   std::vector<UpstreamId> m_Tried;
+  std::vector<UpstreamId> m_SentTo; ///< Of each attempt that may have reached its upstream.
   std::uint32_t m_Sent = 0;
   std::uint32_t m_NotSent = 0;
   bool m_MayHaveRun = false;
--- a/packages/gateway/tests/forwarder_test.cpp
+++ b/packages/gateway/tests/forwarder_test.cpp
@@ -374,6 +374,16 @@
   CHECK(Got.m_Body == event(1) + event(2) + event(3) + event(4));
 }
 
+// Guards against ending an answer because its upstream is slow, when nobody else may be asked any more.
+TEST_CASE_FIXTURE(Fixture, "the last attempt waits until the deadline") {
+  configure(RequestKind::Stream, 2);
+  add(always({"", milliseconds(0), true}));
+  add(always({streamHead() + events(1, 2) + StreamEnd, milliseconds(1700)}));
+  const Answer Got = ask(request());
+  CHECK(Got.m_Complete);
+  CHECK(Got.m_Body == event(1) + event(2));
+}
+
 // Guards against a stream that looks complete though events are missing.
 TEST_CASE_FIXTURE(Fixture, "a stream that nobody can finish does not end as complete") {
   configure(RequestKind::Stream, 2);
--- a/packages/net/include/bulrushpitch/net/http_client.h
+++ b/packages/net/include/bulrushpitch/net/http_client.h
@@ -57,6 +57,8 @@
   /// Says whether a response belongs to this request. One that does not is read to its end and dropped:
   /// a server may send a second response, which arrives where the next one is due. Empty: all belong.
   std::function<bool(const HttpHeaders &)> m_Belongs;
+  /// Asked when the headers have not come in time: how much longer to wait; zero gives up. Empty: gives up.
+  std::function<Duration()> m_OnHeadTimeout;
   std::shared_ptr<CallHandle> m_Handle; ///< May be empty.
 };
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -193,6 +193,14 @@
       error_code Code;
       m_Owner->m_Received += co_await http::async_read_header(
           socket(), m_Connection->m_Buffer, *m_Parser, asio::redirect_error(asio::use_awaitable, Code));
+      while (Code && m_Connection->m_Watched.m_Expired && Options.m_OnHeadTimeout) {
+        const Duration More = Options.m_OnHeadTimeout();
+        if (More <= Duration::zero())
+          break;
+        m_Connection->m_Watched.arm(More);
+        m_Owner->m_Received += co_await http::async_read_header(
+            socket(), m_Connection->m_Buffer, *m_Parser, asio::redirect_error(asio::use_awaitable, Code));
+      }
       if (Code) {
         m_Connection->m_Watched.disarm();
         co_return headError(Code);
@@ -350,7 +358,7 @@
 
 asio::awaitable<Expected<std::unique_ptr<HttpStream>>> HttpClient::open(Endpoint Peer, HttpRequest Request,
                                                                         Duration Timeout) {
-  return m_Impl->open(std::move(Peer), std::move(Request), CallOptions{Timeout, Timeout, {}, nullptr});
+  return m_Impl->open(std::move(Peer), std::move(Request), CallOptions{Timeout, Timeout, {}, {}, nullptr});
 }
 
 asio::awaitable<Expected<std::unique_ptr<HttpStream>>> HttpClient::open(Endpoint Peer, HttpRequest Request,
