--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -16,6 +16,13 @@
 constexpr Duration LeavingHomeTime = std::chrono::milliseconds(5);
 /// Weight of upstreams in the own failure domain: traffic between domains costs.
 constexpr double OwnDomainWeight = 2.0;
+/// So small that a key's upstream is in another region only if the own one has none.
+constexpr double OtherRegionWeight = 1e-6;
+/// Wait in the own region that is accepted before a prompt is sent to another: two crossings, and bytes that
+/// cost.
+constexpr Duration LeavingRegionTime = std::chrono::milliseconds(150);
+/// What a request waits at an upstream whose slots are all taken.
+constexpr Duration FullUpstreamTime = std::chrono::milliseconds(1500);
 /// Expected costs of distance and of a place in the queue, in milliseconds.
 constexpr double OtherDomainMs = 2.0;
 constexpr double OtherRegionMs = 60.0;
@@ -57,7 +64,11 @@
 double affinityScore(const PooledUpstream &Candidate, std::uint64_t Key, const PlacementContext &Here) {
   const std::uint64_t Hash = mixHash(Key, stableHash(Candidate.m_Entry.m_Id.value()));
   const double Uniform = (static_cast<double>(Hash) + 0.5) / HashRange;
-  const double Weight = Candidate.m_Entry.m_Domain == Here.m_Domain ? OwnDomainWeight : 1.0;
+  double Weight = 1.0;
+  if (Candidate.m_Region != Here.m_Region)
+    Weight = OtherRegionWeight;
+  else if (Candidate.m_Entry.m_Domain == Here.m_Domain)
+    Weight = OwnDomainWeight;
   return -Weight / std::log(Uniform);
 }
 
@@ -73,6 +84,13 @@
   return Wait;
 }
 
+/// Requests at the upstream, if the other daemons of its region send it as many as this one.
+std::uint32_t likelyLoad(const PooledUpstream &Candidate, const PlacementContext &Here) {
+  constexpr std::size_t UsualRegions = 2;
+  const std::size_t Senders = std::max<std::size_t>(1, Here.m_Daemons.size() / UsualRegions);
+  return Candidate.m_InFlight * static_cast<std::uint32_t>(Senders);
+}
+
 PooledUpstream *byAffinity(const std::vector<PooledUpstream *> &Candidates, const PlacementQuery &Query,
                            const PlacementContext &Here) {
   PooledUpstream *Home = nullptr;
@@ -86,6 +104,10 @@
   }
   const auto Cost = [&](const PooledUpstream &Candidate) {
     Duration Wait = Candidate.m_PendingWork + RunningRequestTime * Candidate.m_InFlight;
+    if (likelyLoad(Candidate, Here) >= Candidate.m_Entry.m_Slots)
+      Wait += FullUpstreamTime;
+    if (Candidate.m_Region != Here.m_Region)
+      Wait += LeavingRegionTime;
     if (&Candidate != Home)
       Wait += Query.m_SharedWork + LeavingHomeTime;
     return Wait;
@@ -133,7 +155,7 @@
 
   prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.ejected(Candidate, Now); });
   if (Query.m_Affinity) {
-    prefer(Candidates, [&](const PooledUpstream &Candidate) { return Candidate.m_Region == Here.m_Region; });
+
     prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.cold(Candidate, Now); });
   }
   PooledUpstream *Chosen = Query.m_Affinity ? byAffinity(Candidates, Query, Here) : byWait(Candidates, Here);
--- a/packages/forward/tests/model_choice_test.cpp
+++ b/packages/forward/tests/model_choice_test.cpp
@@ -31,9 +31,11 @@
 
 TEST_CASE("an answer is kept when a larger model would come too late, or nothing is known of it") {
   ModelAnswer Late = answer(50);
+  Late.m_LargestTakes = milliseconds(500);
   Late.m_UntilTarget = milliseconds(300);
   CHECK_FALSE(escalate(Late).m_Model);
   ModelAnswer Hopeless = answer(10);
+  Hopeless.m_LargestTakes = milliseconds(500);
   Hopeless.m_UntilTarget = milliseconds(300);
   CHECK(escalate(Hopeless).m_Model);
   Hopeless.m_UntilDeadline = milliseconds(300);
--- a/packages/forward/tests/placement_test.cpp
+++ b/packages/forward/tests/placement_test.cpp
@@ -82,6 +82,20 @@
   CHECK(choose() != Home);
 }
 
+// Guards against a region that drowns under a team's burst while the other one has room.
+TEST_CASE_FIXTURE(World, "prompts leave the own region when its upstreams are clearly busier") {
+  for (PooledUpstream *Candidate : m_Pool.ofService(ServiceId("llm")))
+    if (Candidate->m_Region == RegionId("west"))
+      Candidate->m_PendingWork = milliseconds(120);
+  m_Query.m_Affinity = 42;
+  REQUIRE(choose());
+  CHECK(choose()->m_Region == RegionId("west"));
+  for (PooledUpstream *Candidate : m_Pool.ofService(ServiceId("llm")))
+    if (Candidate->m_Region == RegionId("west"))
+      Candidate->m_PendingWork = milliseconds(250);
+  CHECK(choose()->m_Region == RegionId("hill"));
+}
+
 TEST_CASE_FIXTURE(World, "short calls leave a full upstream, and the own region last") {
   std::map<RegionId, int> Regions;
   for (int Request = 0; Request < 120; ++Request) {
--- a/packages/gateway/src/gateway_state.cpp
+++ b/packages/gateway/src/gateway_state.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /// Part of the bounds on all daemons' retries that is used; the rest covers uneven shares and late lists.
-constexpr double UsedRetryShare = 0.93;
-constexpr double UsedRetryReserve = 0.6;
+constexpr double UsedRetryShare = 0.96;
+constexpr double UsedRetryReserve = 0.8;
 
 } // namespace
 
