--- a/packages/client/src/commands.cpp
+++ b/packages/client/src/commands.cpp
@@ -266,6 +266,7 @@
   for (const TimelineEvent &Event : *Events)
     ByInstance[Event.m_Instance].push_back(Event);
   std::vector<std::vector<TimelineEvent>> Lists;
+  Lists.reserve(ByInstance.size());
   for (std::pair<const InstanceId, std::vector<TimelineEvent>> &Entry : ByInstance)
     Lists.push_back(std::move(Entry.second));
   std::ofstream File(More.m_Svg);
--- a/packages/forward/include/bulrushpitch/forward/model_choice.h
+++ b/packages/forward/include/bulrushpitch/forward/model_choice.h
@@ -18,6 +18,7 @@
   std::optional<int> m_Confidence; ///< The model's opinion of its answer, 0 to 100.
   Duration m_UntilTarget{};        ///< Left until the answer counts as late.
   Duration m_UntilDeadline{};      ///< Left until the caller gets no answer at all.
+  Duration m_EventGap{};           ///< Usual pause between events of all streams now; it rises with the load.
   Duration m_LargestTakes{};       ///< Expected time of the largest model to its first event.
 };
 
@@ -33,10 +34,10 @@
 
 /// @brief Decides whether an answer is kept or asked again from the largest model.
 ///
-/// Answers the usual load. Below a confidence, the smallest model's answer is wrong so often that the largest
-/// model's use costs less than the answer's worth; a model in between is passed over, as it is wrong nearly
-/// as often. A doubtful answer is kept when a better one would come late; one
-/// that is almost surely wrong is not.
+/// Below a confidence that falls as the load of the engines rises, the smallest model's answer is wrong so
+/// often that the largest model's use costs less than the answer's worth; a model in between is passed over,
+/// as it is wrong nearly as often. A doubtful answer is kept when a better one would come late; one that is
+/// almost surely wrong is not.
 EscalationDecision escalate(const ModelAnswer &Answer);
 
 } // namespace bulrushpitch
--- a/packages/forward/include/bulrushpitch/forward/upstream_pool.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_pool.h
@@ -23,6 +23,7 @@
   Duration m_PendingWork{};     ///< Expected time to the first events of this daemon's requests.
   TimePoint m_ColdUntil{};
   TimePoint m_EjectedUntil{};  ///< Gets no requests before, because it failed.
+  Duration m_EventGap{};       ///< Usual pause between the events of its streams; see eventGap().
   TimePoint m_HeardAt{};       ///< When anything came from it last, for any request.
   TimePoint m_UnreachableAt{}; ///< When a connection to it failed last, if none has been made since.
   std::uint32_t m_FailedInRow = 0;
@@ -59,6 +60,11 @@
   void onWorkDone(const UpstreamId &Id, Duration Work);
   /// @brief Notes that something came from the upstream.
   void onHeard(const UpstreamId &Id, TimePoint Now);
+  /// @brief Notes the pause before an event of a stream.
+  void onEventGap(const UpstreamId &Id, Duration Gap);
+  /// @return the usual pause between events now: an upstream that has sent none for a while may have
+  /// recovered
+  Duration eventGap(const PooledUpstream &Candidate, TimePoint Now) const;
   /// @return whether something came from the upstream so lately that it is at work
   bool alive(const UpstreamId &Id, TimePoint Now) const;
   /// @return whether the upstream has ended: it is no longer registered, or takes no connections
--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -12,6 +12,9 @@
 
 /// What a running request adds to the wait of others: each one slows the batch a little.
 constexpr Duration RunningRequestTime = std::chrono::milliseconds(3);
+/// An answer's events that are counted as wait: the pauses of a busy upstream stand for the work that the
+/// other daemons send it.
+constexpr int EventsThatCount = 4;
 /// Keeps short prompts with equal waits at the upstream of their affinity.
 constexpr Duration LeavingHomeTime = std::chrono::milliseconds(5);
 /// Weight of upstreams in the own failure domain: traffic between domains costs.
@@ -91,8 +94,8 @@
   return Candidate.m_InFlight * static_cast<std::uint32_t>(Senders);
 }
 
-PooledUpstream *byAffinity(const std::vector<PooledUpstream *> &Candidates, const PlacementQuery &Query,
-                           const PlacementContext &Here) {
+PooledUpstream *byAffinity(const UpstreamPool &Pool, const std::vector<PooledUpstream *> &Candidates,
+                           const PlacementQuery &Query, const PlacementContext &Here, TimePoint Now) {
   PooledUpstream *Home = nullptr;
   double HomeScore = -std::numeric_limits<double>::infinity();
   for (PooledUpstream *Candidate : Candidates) {
@@ -104,6 +107,7 @@
   }
   const auto Cost = [&](const PooledUpstream &Candidate) {
     Duration Wait = Candidate.m_PendingWork + RunningRequestTime * Candidate.m_InFlight;
+    Wait += Pool.eventGap(Candidate, Now) * EventsThatCount;
     if (likelyLoad(Candidate, Here) >= Candidate.m_Entry.m_Slots)
       Wait += FullUpstreamTime;
     if (Candidate.m_Region != Here.m_Region)
@@ -158,7 +162,8 @@
 
     prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.cold(Candidate, Now); });
   }
-  PooledUpstream *Chosen = Query.m_Affinity ? byAffinity(Candidates, Query, Here) : byWait(Candidates, Here);
+  PooledUpstream *Chosen =
+      Query.m_Affinity ? byAffinity(Pool, Candidates, Query, Here, Now) : byWait(Candidates, Here);
   if (Query.m_ColdPerSecond > 0.0 && Pool.cold(*Chosen, Now))
     Chosen->m_ColdPacer.take(Now, coldShare(*Chosen, Query, Here));
   return {Chosen, Obstacle, Query.m_Affinity ? "affinity" : "least wait"};
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -14,6 +14,8 @@
 constexpr Duration ColdAfterReturn = milliseconds(4000);
 /// A busy upstream sends something to one of many requests at least so often.
 constexpr Duration AliveFor = milliseconds(500);
+constexpr double EventGapWeight = 0.1; ///< Of the newest gap.
+constexpr Duration EventGapForgottenAfter = milliseconds(3000);
 /// How long a failed connection says that the upstream has ended.
 constexpr Duration UnreachableFor = milliseconds(5000);
 constexpr std::uint32_t FailuresToEject = 2;
@@ -118,6 +120,23 @@
   }
 }
 
+void UpstreamPool::onEventGap(const UpstreamId &Id, Duration Gap) {
+  PooledUpstream *Target = find(Id);
+  if (!Target)
+    return;
+  const Duration Difference = Gap - Target->m_EventGap;
+  Target->m_EventGap += std::chrono::duration_cast<Duration>(Difference * EventGapWeight);
+}
+
+Duration UpstreamPool::eventGap(const PooledUpstream &Candidate, TimePoint Now) const {
+  const Duration Unheard = Now - Candidate.m_HeardAt;
+  if (Unheard >= EventGapForgottenAfter)
+    return Duration::zero();
+  const double Kept =
+      1.0 - std::chrono::duration<double>(Unheard) / std::chrono::duration<double>(EventGapForgottenAfter);
+  return std::chrono::duration_cast<Duration>(Candidate.m_EventGap * Kept);
+}
+
 bool UpstreamPool::alive(const UpstreamId &Id, TimePoint Now) const {
   const auto Found = m_Upstreams.find(Id);
   return Found != m_Upstreams.end() && Now - Found->second.m_HeardAt < AliveFor;
--- a/packages/forward/tests/model_choice_test.cpp
+++ b/packages/forward/tests/model_choice_test.cpp
@@ -23,6 +23,23 @@
   CHECK(escalate(answer(10)).m_Model == std::size_t{2});
 }
 
+// Guards against engines that drown: the largest model's use must shrink as they slow down.
+TEST_CASE("the busier the engines, the more doubtful answers are kept") {
+  int Kept = 0;
+  for (const int GapMs : {30, 90, 120, 200, 1000}) {
+    int KeptNow = 0;
+    for (int Confidence = 0; Confidence < 100; ++Confidence) {
+      ModelAnswer Given = answer(Confidence);
+      Given.m_EventGap = milliseconds(GapMs);
+      KeptNow += escalate(Given).m_Model ? 0 : 1;
+    }
+    CHECK(KeptNow >= Kept);
+    Kept = KeptNow;
+  }
+  CHECK(Kept >= 80);
+  CHECK(Kept < 100);
+}
+
 TEST_CASE("the largest model's answer is kept whatever it thinks of it") {
   ModelAnswer Given = answer(10);
   Given.m_Model = 2;
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include "bulrushpitch/forward/placement.h"
 #include "bulrushpitch/forward/reading_time.h"
 #include "bulrushpitch/forward/retry_window.h"
+#include "bulrushpitch/forward/stream_pace.h"
 #include "bulrushpitch/forward/upstream_pool.h"
 #include "bulrushpitch/forward/version_trial.h"
 
@@ -49,6 +50,7 @@
   std::set<DomainId> m_DomainsOut;
   PlacementContext m_Here;
   ReadingTime m_ReadingTime;
+  StreamPace m_Pace;
 
 private:
   GatewayBounds m_Bounds;
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -290,6 +290,7 @@
   Given.m_Confidence = Read.m_Confidence;
   Given.m_UntilTarget = m_ArrivedAt + m_Route->m_TargetLatency - m_Parts.m_Clock();
   Given.m_UntilDeadline = left();
+  Given.m_EventGap = m_Parts.m_State.m_Pace.usualGap();
   if (!m_Route->m_Models.empty())
     Given.m_LargestTakes =
         m_Parts.m_State.m_ReadingTime.expected(m_Route->m_Models.back(), m_Caller.m_PromptTokens);
@@ -421,8 +422,10 @@
       co_return outcomeOf(Part.error());
     if (!*Part)
       break;
-    HeardAt = Now;
+    m_Parts.m_State.m_Pool.onEventGap(Target, Now - HeardAt);
+    m_Parts.m_State.m_Pace.record(Now - HeardAt);
     m_Parts.m_State.m_Pool.onHeard(Target, Now);
+    HeardAt = Now;
     Events.feed(**Part);
     const std::optional<AttemptOutcome> Ended = co_await forwardEvents(Answer, Events);
     if (Ended)
@@ -447,14 +450,16 @@
   }
   if (!certainlyNotRun(Outcome))
     m_MayHaveRun = true;
-  m_Parts.m_Log.add(LogClass::Request, "attempt_ended",
-                    {{"request", std::string_view(m_Caller.m_AttemptId)},
-                     {"upstream", std::string_view(Target.value())},
-                     {"version", std::string_view(Version.value())},
-                     {"outcome", nameOf(Outcome)},
-                     {"model", static_cast<std::int64_t>(m_AskedModel)},
-                     {"confidence", static_cast<std::int64_t>(m_Confidence)},
-                     {"head_ms", std::chrono::duration<double, std::milli>(m_HeadTook).count()}});
+  m_Parts.m_Log.add(
+      LogClass::Request, "attempt_ended",
+      {{"request", std::string_view(m_Caller.m_AttemptId)},
+       {"upstream", std::string_view(Target.value())},
+       {"version", std::string_view(Version.value())},
+       {"outcome", nameOf(Outcome)},
+       {"model", static_cast<std::int64_t>(m_AskedModel)},
+       {"confidence", static_cast<std::int64_t>(m_Confidence)},
+       {"event_gap_ms", std::chrono::duration<double, std::milli>(m_Parts.m_State.m_Pace.usualGap()).count()},
+       {"head_ms", std::chrono::duration<double, std::milli>(m_HeadTook).count()}});
   VersionTrial *Trial = m_Parts.m_State.trialOf(m_Service);
   const bool Good = Outcome == AttemptOutcome::Answered || Outcome == AttemptOutcome::Dropped;
   const bool Counts = Good || Outcome == AttemptOutcome::Failed || Outcome == AttemptOutcome::Broken ||
