--- a/packages/forward/include/bulrushpitch/forward/upstream_pool.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_pool.h
@@ -67,6 +67,9 @@
   Duration eventGap(const PooledUpstream &Candidate, TimePoint Now) const;
   /// @return whether something came from the upstream so lately that it is at work
   bool alive(const UpstreamId &Id, TimePoint Now) const;
+  /// @return whether no upstream of the domain seems to be reachable: several connections to it have failed
+  /// since anything came from it
+  bool unreachable(const DomainId &Domain, TimePoint Now) const;
   /// @return whether the upstream has ended: it is no longer registered, or takes no connections
   bool ended(const UpstreamId &Id, TimePoint Now) const;
   /// @brief Counts an attempt's end towards the upstream's health.
@@ -87,6 +90,11 @@
   void index();
 
   std::map<DomainId, RegionId> m_Regions;
+  struct DomainFailures {
+    std::uint32_t m_InRow = 0; ///< Connections that failed since anything came from the domain.
+    TimePoint m_LastAt{};
+  };
+  std::map<DomainId, DomainFailures> m_DomainFailures;
   std::set<DomainId> m_Out;
   std::map<UpstreamId, PooledUpstream> m_Upstreams;
   std::unordered_map<ServiceId, std::vector<PooledUpstream *>> m_ByService;
--- a/packages/forward/src/attempt.cpp
+++ b/packages/forward/src/attempt.cpp
@@ -7,7 +7,7 @@
 /// With less time than this left, another attempt can only cost.
 constexpr Duration LeastTimeForAttempt = std::chrono::milliseconds(20);
 /// Connections that may fail for one request before it is given up.
-constexpr std::uint32_t MostNotSent = 3;
+constexpr std::uint32_t MostNotSent = 4;
 
 bool isRepeatable(const RetryState &State) {
   return State.m_Kind == RequestKind::Idempotent ||
--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -158,6 +158,8 @@
     return {nullptr, Obstacle, "no upstream can take it"};
 
   prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.ejected(Candidate, Now); });
+  prefer(Candidates,
+         [&](const PooledUpstream &Candidate) { return !Pool.unreachable(Candidate.m_Entry.m_Domain, Now); });
   if (Query.m_Affinity) {
 
     prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.cold(Candidate, Now); });
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -18,6 +18,10 @@
 constexpr Duration EventGapForgottenAfter = milliseconds(3000);
 /// How long a failed connection says that the upstream has ended.
 constexpr Duration UnreachableFor = milliseconds(5000);
+/// Failed connections in a row that speak against a whole domain, and how long it is avoided after the last
+/// one.
+constexpr std::uint32_t FailuresForDomain = 3;
+constexpr Duration DomainAvoidedFor = milliseconds(1000);
 constexpr std::uint32_t FailuresToEject = 2;
 constexpr Duration FirstEjection = milliseconds(1000);
 constexpr Duration LongestEjection = milliseconds(8000);
@@ -117,6 +121,7 @@
   if (PooledUpstream *Target = find(Id)) {
     Target->m_HeardAt = Now;
     Target->m_UnreachableAt = TimePoint{};
+    m_DomainFailures[Target->m_Entry.m_Domain].m_InRow = 0;
   }
 }
 
@@ -142,6 +147,12 @@
   return Found != m_Upstreams.end() && Now - Found->second.m_HeardAt < AliveFor;
 }
 
+bool UpstreamPool::unreachable(const DomainId &Domain, TimePoint Now) const {
+  const auto Known = m_DomainFailures.find(Domain);
+  return Known != m_DomainFailures.end() && Known->second.m_InRow >= FailuresForDomain &&
+         Now - Known->second.m_LastAt < DomainAvoidedFor;
+}
+
 bool UpstreamPool::ended(const UpstreamId &Id, TimePoint Now) const {
   const auto Found = m_Upstreams.find(Id);
   return Found == m_Upstreams.end() || (Found->second.m_UnreachableAt != TimePoint{} &&
@@ -152,8 +163,12 @@
   PooledUpstream *Target = find(Id);
   if (!Target)
     return;
-  if (Outcome == AttemptOutcome::NotSent)
+  if (Outcome == AttemptOutcome::NotSent) {
     Target->m_UnreachableAt = Now;
+    DomainFailures &Failures = m_DomainFailures[Target->m_Entry.m_Domain];
+    ++Failures.m_InRow;
+    Failures.m_LastAt = Now;
+  }
   if (Target->m_InFlight > 0)
     --Target->m_InFlight;
   if (Outcome == AttemptOutcome::CallerGone)
--- a/packages/forward/tests/upstream_pool_test.cpp
+++ b/packages/forward/tests/upstream_pool_test.cpp
@@ -100,6 +100,23 @@
   CHECK(m_Pool.cold(*m_Pool.find(m_Id), m_Now));
 }
 
+// Guards against requests that try one upstream after the other of a domain that is cut off.
+TEST_CASE_FIXTURE(Fixture,
+                  "a domain is avoided after failed connections to it, until something comes from it") {
+  for (const char *Name : {"a", "b", "c"}) {
+    m_Pool.update(entry(Name), m_Now);
+    m_Pool.onEnded(UpstreamId(Name), AttemptOutcome::NotSent, m_Now);
+  }
+  CHECK(m_Pool.unreachable(DomainId("west-a"), m_Now));
+  CHECK_FALSE(m_Pool.unreachable(DomainId("hill-a"), m_Now));
+  m_Pool.onHeard(m_Id, m_Now);
+  CHECK_FALSE(m_Pool.unreachable(DomainId("west-a"), m_Now));
+  for (const char *Name : {"a", "b", "c"})
+    m_Pool.onEnded(UpstreamId(Name), AttemptOutcome::NotSent, m_Now);
+  m_Now += milliseconds(1000);
+  CHECK_FALSE(m_Pool.unreachable(DomainId("west-a"), m_Now));
+}
+
 TEST_CASE_FIXTURE(Fixture, "reading the whole registry removes what it does not list") {
   m_Pool.replaceAll({entry("a"), entry("b")}, m_Now, Duration::zero());
   CHECK(m_Pool.size() == 2);
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Covers a round trip to another region and a slow accept; a lost opening packet is not worth waiting for.
-constexpr Duration ConnectTimeout = milliseconds(500);
+constexpr Duration ConnectTimeout = milliseconds(300);
 /// A stream that has been silent for so long goes on at another upstream: longer than an upstream's own
 /// pauses under load, shorter than the pause that makes an answer late.
 constexpr Duration MostSilence = milliseconds(900);
