Requests wait for the configuration of a daemon that has just started

Now a request that arrives within 0.7 s of the start waits; later it is refused at once. Test: 'a request that comes while the daemon starts waits for the configuration' (red before).

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -35,7 +35,7 @@
                 [this](std::string_view Key, const Error &Why) { noteIgnored(Key, Why); }),
         m_State(m_Settings), m_DrainCheck(
                                  Context, [] { return DrainCheckInterval; }, [this] { checkDrained(); }) {
-    ForwarderParts Parts{m_State, m_Translation, m_Upstreams, m_Log, m_Metrics, m_Clock};
+    ForwarderParts Parts{m_State, m_Translation, m_Upstreams, m_Log, m_Metrics, m_Clock, m_Clock()};
     m_Services.add("entry", std::make_shared<EntryService>(Context, m_Settings, Parts));
     m_Services.add("control",
                    std::make_shared<ControlService>(
--- a/packages/gateway/include/bulrushpitch/gateway/forwarder.h
+++ b/packages/gateway/include/bulrushpitch/gateway/forwarder.h
@@ -18,6 +18,7 @@
   EventLog &m_Log;
   Metrics &m_Metrics;
   ClockHook m_Clock;
+  TimePoint m_StartedAt; ///< Of this daemon.
 };
 
 /// @brief Answers callers' requests by sending them to upstreams.
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -3,6 +3,11 @@
 #include "bulrushpitch/core/hash.h"
 #include "bulrushpitch/forward/model_choice.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace bulrushpitch::detail {
@@ -12,6 +17,9 @@
 
 namespace {
 
+/// A daemon usually reads its configuration within a tenth of this after its start.
+constexpr Duration StartTime = milliseconds(700);
+constexpr Duration StartCheckInterval = milliseconds(15);
 /// Covers a round trip to another region and a slow accept; a lost opening packet is not worth waiting for.
 constexpr Duration ConnectTimeout = milliseconds(300);
 /// A stream that has been silent for so long goes on at another upstream: longer than an upstream's own
@@ -53,10 +61,21 @@
 ForwardedRequest::ForwardedRequest(ForwarderParts &Parts, HttpRequest &Request, ResponseWriter &Writer)
     : m_Parts(Parts), m_Request(Request), m_Writer(Writer), m_ArrivedAt(Parts.m_Clock()),
       m_Deadline(m_ArrivedAt), m_Caller(Parts.m_Translation.m_ReadRequest(Request)),
-      m_Directory(Parts.m_State.m_Directory), m_Hash(stableHash(m_Caller.m_AttemptId)),
-      m_Sequence(m_Caller.m_AfterEvent) {}
+      m_Hash(stableHash(m_Caller.m_AttemptId)), m_Sequence(m_Caller.m_AfterEvent) {}
+
+asio::awaitable<void> ForwardedRequest::waitForStart() {
+  const GatewayState &State = m_Parts.m_State;
+  asio::steady_timer Pause(co_await asio::this_coro::executor);
+  while (!State.known() && m_Parts.m_Clock() - m_Parts.m_StartedAt < StartTime) {
+    Pause.expires_after(StartCheckInterval);
+    boost::system::error_code Ignored;
+    co_await Pause.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+  m_Directory = State.m_Directory;
+}
 
 asio::awaitable<void> ForwardedRequest::serve() {
+  co_await waitForStart();
   if (!m_Parts.m_State.known()) {
     co_await refuse(StatusUnavailable, RetryAfterUnknown, "configuration not known yet");
     co_return;
@@ -290,6 +309,7 @@
   Given.m_Confidence = Read.m_Confidence;
   Given.m_UntilTarget = m_ArrivedAt + m_Route->m_TargetLatency - m_Parts.m_Clock();
   Given.m_UntilDeadline = left();
+
   Given.m_EventGap = m_Parts.m_State.m_Pace.usualGap();
   if (!m_Route->m_Models.empty())
     Given.m_LargestTakes =
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -24,6 +24,8 @@
 private:
   using Head = std::unique_ptr<HttpStream>;
 
+  /// @brief Waits until the configuration is known, if this daemon has just started.
+  boost::asio::awaitable<void> waitForStart();
   /// @brief Finds route, team and service.
   /// @return the status to refuse with, or nothing
   std::optional<unsigned> resolve();
@@ -94,7 +96,6 @@
   Duration m_HeadTook{};
   std::optional<HttpResponse> m_Failure; ///< The upstream's own failure, kept in case no attempt succeeds.
   EventSequence m_Sequence;
-  bool m_Finished = false;
 };
 
 } // namespace bulrushpitch::detail
--- a/packages/gateway/tests/forwarder_test.cpp
+++ b/packages/gateway/tests/forwarder_test.cpp
@@ -91,6 +91,7 @@
 
 /// What a caller got.
 struct Answer {
+  bool m_Ended = false;
   bool m_Complete = false;
   unsigned m_Status = 0;
   HttpHeaders m_Headers;
@@ -115,7 +116,8 @@
           return Text.size();
         },
         1000.0);
-    m_Forwarder.emplace(ForwarderParts{*m_State, m_Translation, m_Client, *m_Log, m_Metrics, systemClock()});
+    m_Forwarder.emplace(
+        ForwarderParts{*m_State, m_Translation, m_Client, *m_Log, m_Metrics, systemClock(), systemClock()()});
     m_Server.emplace(
         m_Context, Endpoint{"127.0.0.1", 0}, ServerLimits{},
         [this](HttpRequest &Request, ResponseWriter &Writer) { return m_Forwarder->handle(Request, Writer); },
@@ -173,7 +175,7 @@
     return Made;
   }
 
-  asio::awaitable<void> fetch(HttpRequest Sent, Answer &Into, bool &Ended) {
+  asio::awaitable<void> fetch(HttpRequest Sent, Answer &Into) {
     Expected<std::unique_ptr<HttpStream>> Opened =
         co_await m_Caller.open(m_Server->address(), std::move(Sent), std::chrono::seconds(5));
     if (Opened) {
@@ -187,14 +189,13 @@
         Into.m_Body += **Part;
       }
     }
-    Ended = true;
+    Into.m_Ended = true;
   }
 
   Answer ask(HttpRequest Sent) {
     Answer Got;
-    bool Ended = false;
-    spawn(m_Context, fetch(std::move(Sent), Got, Ended));
-    while (!Ended)
+    spawn(m_Context, fetch(std::move(Sent), Got));
+    while (!Got.m_Ended)
       m_Context.run_one();
     return Got;
   }
@@ -236,10 +237,23 @@
   CHECK(Seen.find("key") == std::string::npos);
 }
 
-TEST_CASE_FIXTURE(Fixture, "before a configuration is known nothing is denied") {
+TEST_CASE_FIXTURE(Fixture,
+                  "without a configuration nothing is denied, and a request is refused after the start") {
   const Answer Got = ask(request());
   CHECK(Got.m_Status == 503);
   CHECK(Got.m_Headers.find("Retry-After"));
+  const TimePoint Start = systemClock()();
+  CHECK(ask(request()).m_Status == 503);
+  CHECK(systemClock()() - Start < milliseconds(200));
+}
+
+// Guards against refusing callers who come back to a daemon that has just started and reads its
+// configuration.
+TEST_CASE_FIXTURE(Fixture, "a request that comes while the daemon starts waits for the configuration") {
+  add(always({whole("answer")}));
+  asio::steady_timer Read(m_Context, milliseconds(150));
+  Read.async_wait([this](boost::system::error_code) { configure(RequestKind::Idempotent, 2); });
+  CHECK(ask(request()).m_Body == "answer");
 }
 
 TEST_CASE_FIXTURE(Fixture, "an unknown route, an unknown key, and no upstream") {
