--- a/packages/forward/include/bulrushpitch/forward/placement.h
+++ b/packages/forward/include/bulrushpitch/forward/placement.h
@@ -47,6 +47,10 @@
   AllTried    ///< It was already sent to all of them.
 };
 
+/// @param Value an obstacle
+/// @return for example "all upstreams are cold"
+std::string_view nameOf(NoPlace Value);
+
 /// @brief The result of a placement.
 struct Placement {
   PooledUpstream *m_Upstream = nullptr; ///< Null if there is no place.
--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -140,6 +140,18 @@
 
 } // namespace
 
+std::string_view nameOf(NoPlace Value) {
+  switch (Value) {
+  case NoPlace::NoUpstream:
+    return "no upstream";
+  case NoPlace::AllCold:
+    return "all upstreams are cold";
+  case NoPlace::AllTried:
+    return "all upstreams were tried";
+  }
+  return "unknown";
+}
+
 Placement place(UpstreamPool &Pool, const PlacementQuery &Query, const PlacementContext &Here,
                 TimePoint Now) {
   std::vector<PooledUpstream *> Candidates;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -238,6 +238,8 @@
       m_State.m_Pool.update(Entry, Now);
       m_Log.add(LogClass::State, "upstream_changed",
                 {{"upstream", std::string_view(Entry.m_Id.value())},
+                 {"service", std::string_view(Entry.m_Service.value())},
+                 {"domain", std::string_view(Entry.m_Domain.value())},
                  {"version", std::string_view(Entry.m_Version.value())},
                  {"draining", static_cast<std::int64_t>(Entry.m_Draining)},
                  {"cold_ms", std::chrono::duration<double, std::milli>(Entry.m_ColdFor).count()}});
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -509,12 +509,11 @@
   if (m_NoPlace)
     RetryAfter = m_Obstacle == NoPlace::AllCold ? RetryAfterCold : RetryAfterNoUpstream;
   const FinalFailure Told = failureFor(m_Last, !m_MayHaveRun, RetryAfter);
-  co_await refuse(Told.m_Status, Told.m_RetryAfter,
-                  m_NoPlace ? "no upstream can take it" : "attempts failed");
+  co_await refuse(Told.m_Status, Told.m_RetryAfter, m_NoPlace ? nameOf(m_Obstacle) : "attempts failed");
 }
 
 asio::awaitable<void> ForwardedRequest::refuse(unsigned Status, std::optional<Duration> RetryAfter,
-                                               const char *Why) {
+                                               std::string_view Why) {
   logEnd(Why, Status);
   HttpResponse Response;
   Response.m_Status = Status;
@@ -531,6 +530,7 @@
   m_Parts.m_Log.add(LogClass::Request, "request_ended",
                     {{"request", std::string_view(m_Caller.m_AttemptId)},
                      {"route", Route},
+                     {"service", std::string_view(m_Service.value())},
                      {"revision", Revision},
                      {"outcome", Outcome},
                      {"last", nameOf(m_Last)},
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -46,7 +46,8 @@
   boost::asio::awaitable<std::optional<AttemptOutcome>> forwardEvents(HttpStream &Answer,
                                                                       EventSplitter &Events);
   boost::asio::awaitable<bool> begin(HttpStream &Answer);
-  boost::asio::awaitable<void> refuse(unsigned Status, std::optional<Duration> RetryAfter, const char *Why);
+  boost::asio::awaitable<void> refuse(unsigned Status, std::optional<Duration> RetryAfter,
+                                      std::string_view Why);
   boost::asio::awaitable<void> fail();
 
   bool mayGoOn(AttemptOutcome Last);
