--- a/packages/forward/src/version_trial.cpp
+++ b/packages/forward/src/version_trial.cpp
@@ -29,6 +29,9 @@
 constexpr double DoubtAt = 2.0;
 /// Rise of the failure rate that the test looks for.
 constexpr double FailureRise = 0.25;
+/// What is assumed of the old version before it has answered here, and how many answers that counts for.
+constexpr double UsualFailureRate = 0.05;
+constexpr double PriorAnswers = 4.0;
 constexpr double LeastFailureRate = 0.02;
 constexpr double MostFailureRate = 0.9;
 constexpr double SlowFactor = 4.0;
@@ -63,8 +66,9 @@
     return;
   }
   ++m_NewAnswers;
-  const double Old = std::clamp((m_OldFailures + 0.5) / (m_OldAnswers + 1.0), LeastFailureRate,
-                                MostFailureRate - FailureRise);
+  const double Old =
+      std::clamp((m_OldFailures + UsualFailureRate * PriorAnswers) / (m_OldAnswers + PriorAnswers),
+                 LeastFailureRate, MostFailureRate - FailureRise);
   const double Bad = Old + FailureRise;
   const bool Against = Sample.m_Failed || isSlow(Sample);
   const double Ratio = Against ? std::log(Bad / Old) : std::log((1.0 - Bad) / (1.0 - Old));
--- a/packages/forward/tests/version_trial_test.cpp
+++ b/packages/forward/tests/version_trial_test.cpp
@@ -58,6 +58,14 @@
   CHECK(m_Trial.ruleFor(0, false, m_Start).m_Not == VersionId("v2"));
 }
 
+// Guards against a daemon that has just started and finds no version bad, as it has seen nothing of the old
+// one.
+TEST_CASE_FIXTURE(Trial, "a version that only fails is rolled back without a word of the old one") {
+  for (int Answer = 0; Answer < 4; ++Answer)
+    answer(true, true);
+  CHECK(m_Trial.verdict(m_Start) == TrialState::RolledBack);
+}
+
 TEST_CASE_FIXTURE(Trial, "a version that turns bad late is found as fast") {
   for (int Answer = 0; Answer < 500; ++Answer) {
     answer(false, false);
