--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -20,6 +20,7 @@
 /// Left before the process would be killed.
 constexpr Duration StopMargin = milliseconds(500);
 constexpr Duration DrainCheckInterval = milliseconds(50);
+constexpr Duration SampleInterval = std::chrono::seconds(5);
 /// Request lines a second; more are counted and left out.
 constexpr double LogLinesPerSecond = 60.0;
 
@@ -46,6 +47,7 @@
   ~Impl() { m_Services.stop(); }
 
   Result<void> start() {
+    m_Sampler.start();
     Result<void> Started = m_Services.start();
     if (Started)
       m_Log.add(LogClass::State, "started",
@@ -75,6 +77,18 @@
     return **capture([&] { return m_Services.find<EntryService>("entry"); });
   }
 
+  void sampleStore() {
+    const PlatformCounters Counted = m_Store.counters();
+    m_Metrics.gauge("bulrushpitch_store_calls_count", "Calls to the store since the start.")
+        .set(static_cast<double>(Counted.m_Reads + Counted.m_Writes));
+    m_Metrics.gauge("bulrushpitch_store_failures_count", "Calls to the store that failed or were refused.")
+        .set(static_cast<double>(Counted.m_Failures));
+    m_Metrics.gauge("bulrushpitch_upstreams_count", "Upstreams in the registry as known here.")
+        .set(static_cast<double>(m_State.m_Pool.size()));
+    m_Metrics.gauge("bulrushpitch_log_lines_dropped_count", "Log lines that were left out.")
+        .set(static_cast<double>(m_Log.dropped()));
+  }
+
   void checkDrained() {
     const Duration Since = m_Clock() - *m_DrainStarted;
     const Duration Limit =
@@ -108,6 +122,7 @@
   TableStore m_Store;
   GatewayState m_State;
   Ticker m_DrainCheck;
+  Ticker m_Sampler{m_Context, [] { return SampleInterval; }, [this] { sampleStore(); }};
   std::optional<TimePoint> m_DrainStarted;
   int m_ExitCode = 1;
   Kernel m_Services;
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -50,6 +50,18 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned FirstServerFailure = 500;
 
+const char *nameOf(RequestKind Value) {
+  switch (Value) {
+  case RequestKind::Idempotent:
+    return "idempotent";
+  case RequestKind::NonIdempotent:
+    return "non_idempotent";
+  case RequestKind::Stream:
+    return "stream";
+  }
+  return "unknown";
+}
+
 std::string secondsText(Duration Value) {
   const std::int64_t Ms = std::chrono::duration_cast<milliseconds>(Value).count();
   const std::string Rest = std::to_string(1000 + Ms % 1000).substr(1);
@@ -480,6 +492,14 @@
        {"confidence", static_cast<std::int64_t>(m_Confidence)},
        {"event_gap_ms", std::chrono::duration<double, std::milli>(m_Parts.m_State.m_Pace.usualGap()).count()},
        {"head_ms", std::chrono::duration<double, std::milli>(m_HeadTook).count()}});
+  m_Parts.m_Metrics
+      .counter("bulrushpitch_attempts_total", "Attempts that ended, by outcome.",
+               {{"outcome", std::string(nameOf(Outcome))}})
+      .add();
+  if (m_HeadTook > Duration::zero())
+    m_Parts.m_Metrics
+        .distribution("bulrushpitch_attempt_head_seconds", "From sending to the head of an answer.")
+        .record(m_HeadTook);
   VersionTrial *Trial = m_Parts.m_State.trialOf(m_Service);
   const bool Good = Outcome == AttemptOutcome::Answered || Outcome == AttemptOutcome::Dropped;
   const bool Counts = Good || Outcome == AttemptOutcome::Failed || Outcome == AttemptOutcome::Broken ||
@@ -541,6 +561,10 @@
       .counter("bulrushpitch_requests_total", "Requests that ended, by outcome.",
                {{"outcome", std::string(Outcome)}})
       .add();
+  m_Parts.m_Metrics
+      .distribution("bulrushpitch_request_seconds", "From a caller's request to its end.",
+                    {{"kind", m_Route ? nameOf(m_Route->m_Kind) : "none"}})
+      .record(m_Parts.m_Clock() - m_ArrivedAt);
 }
 
 } // namespace bulrushpitch::detail
--- a/packages/gateway/tests/forwarder_test.cpp
+++ b/packages/gateway/tests/forwarder_test.cpp
@@ -442,6 +442,17 @@
   CHECK(Upstream.closedByPeer() == 1);
 }
 
+TEST_CASE_FIXTURE(Fixture, "requests, attempts and their times are counted") {
+  configure(RequestKind::Idempotent, 2);
+  add(always({"", milliseconds(0), true}));
+  add(always({whole("right")}));
+  ask(request());
+  const std::string Page = m_Metrics.render();
+  CHECK(Page.find("bulrushpitch_requests_total{outcome=\"answered\"} 1") != std::string::npos);
+  CHECK(Page.find("bulrushpitch_attempts_total{outcome=\"broken\"} 1") != std::string::npos);
+  CHECK(Page.find("bulrushpitch_request_seconds_count{kind=\"idempotent\"} 1") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(Fixture, "each attempt and each request leaves a line in the log") {
   configure(RequestKind::Idempotent, 2);
   add(always({"", milliseconds(0), true}));
