--- /dev/null
+++ b/packages/daemon/tests/gateway_daemon_test.cpp
@@ -0,0 +1,151 @@
+#include "bulrushpitch/daemon/gateway_daemon.h"
+
+#include "bulrushpitch/adapter/testing/store_standin.h"
+#include "bulrushpitch/core/expected.h"
+#include "bulrushpitch/net/net.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+
+using namespace bulrushpitch;
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+
+namespace {
+
+/// @return a port that was free a moment ago
+std::uint16_t freePort(asio::io_context &Context) {
+  asio::ip::tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
+  return Acceptor.local_endpoint().port();
+}
+
+/// A whole gateway daemon before a store stand-in and one upstream that takes a while to answer.
+struct Fixture {
+  Fixture() {
+    REQUIRE(capture([this] { return m_Store.start(); }));
+    REQUIRE(capture([this] { return m_Upstream.start(); }));
+    m_Settings.m_Instance = InstanceId("d0");
+    m_Settings.m_Domain = DomainId("west-a");
+    m_Settings.m_Region = RegionId("west");
+    m_Settings.m_Domains = {{DomainId("west-a"), RegionId("west")}};
+    m_Settings.m_Listen.m_Callers = {"127.0.0.1", freePort(m_Context)};
+    m_Settings.m_Listen.m_Readiness = {"127.0.0.1", freePort(m_Context)};
+    m_Settings.m_Store = {"127.0.0.1", m_Store.address().m_Port};
+    m_Settings.m_GracePeriod = 4.0;
+  }
+
+  void publish() {
+    m_Store.put(
+        "op", "config",
+        R"({"Version":3,"Routes":[{"Name":"r","Hostname":"a.example","Prefix":"/x/","Kind":"idempotent",)"
+        R"("TimeoutMs":3000,"TargetLatencyMs":3000,"Service":"s","MaxAttempts":1}]})");
+    m_Store.put("servers", "u1",
+                R"({"Service":"s","Address":"127.0.0.1:)" + std::to_string(m_Upstream.address().m_Port) +
+                    R"(","Zone":"west-a","Version":"v1","Slots":4,"State":"ready"})");
+  }
+
+  void start() {
+    m_Daemon.emplace(m_Context, m_Settings);
+    REQUIRE(capture([this] { return m_Daemon->start(); }));
+  }
+
+  HttpServer upstream() {
+    return HttpServer(
+        m_Context, Endpoint{"127.0.0.1", 0}, ServerLimits{},
+        [this](HttpRequest &, ResponseWriter &Writer) -> asio::awaitable<void> {
+          co_await sleepFor(m_Context, milliseconds(400));
+          HttpResponse Response;
+          Response.m_Headers.add("Response-Signature", "1");
+          Response.m_Body = "answer";
+          static_cast<void>(co_await Writer.send(std::move(Response)));
+        },
+        [](const Error &) {
+          return HttpResponse{400, {}, ""};
+        });
+  }
+
+  asio::awaitable<void> fetch(SocketAddress To, std::string Target, std::optional<HttpResponse> &Into) {
+    HttpRequest Request;
+    Request.m_Target = std::move(Target);
+    Request.m_Headers.add("Host", "a.example");
+    // A local, because g++ 12 destroys an aggregate twice that is a temporary of the co_await expression.
+    const Endpoint Address{To.m_Address, To.m_Port};
+    Expected<HttpResponse> Got =
+        co_await m_Caller.exchange(Address, std::move(Request), std::chrono::seconds(3));
+    if (Got)
+      Into = std::move(*Got);
+  }
+
+  unsigned readiness() {
+    std::optional<HttpResponse> Got;
+    spawn(m_Context, fetch(m_Settings.m_Listen.m_Readiness, "/ready", Got));
+    for (int Step = 0; Step < 200 && !Got; ++Step)
+      runFor(milliseconds(5));
+    return Got ? Got->m_Status : 0;
+  }
+
+  void runFor(milliseconds Time) {
+    if (m_Context.stopped())
+      m_Context.restart();
+    m_Context.run_for(Time);
+  }
+
+  asio::io_context m_Context;
+  testing::StoreStandin m_Store{m_Context};
+  HttpServer m_Upstream = upstream();
+  HttpClient m_Caller{m_Context, "call gateway"};
+  GatewaySettings m_Settings;
+  std::optional<GatewayDaemon> m_Daemon;
+};
+
+} // namespace
+
+// Guards against a daemon that takes requests before it can answer them, or stays out of rotation afterwards.
+TEST_CASE_FIXTURE(Fixture, "a daemon is ready as soon as the store has told it what to do") {
+  m_Store.m_Away = true;
+  start();
+  runFor(milliseconds(200));
+  CHECK(readiness() == 503);
+  publish();
+  m_Store.m_Away = false;
+  runFor(milliseconds(1500));
+  CHECK(readiness() == 200);
+  std::optional<HttpResponse> Got;
+  spawn(m_Context, fetch(m_Settings.m_Listen.m_Callers, "/x/1", Got));
+  runFor(milliseconds(800));
+  REQUIRE(Got);
+  CHECK(Got->m_Body == "answer");
+}
+
+// Guards against answers that are lost when a daemon is stopped as planned.
+TEST_CASE_FIXTURE(Fixture, "a graceful stop ends what runs, serves what still comes, and then exits") {
+  publish();
+  start();
+  runFor(milliseconds(300));
+  std::optional<HttpResponse> Running;
+  spawn(m_Context, fetch(m_Settings.m_Listen.m_Callers, "/x/1", Running));
+  runFor(milliseconds(100));
+  m_Daemon->drain();
+  CHECK(readiness() == 503);
+  std::optional<HttpResponse> Late;
+  spawn(m_Context, fetch(m_Settings.m_Listen.m_Callers, "/x/2", Late));
+  runFor(milliseconds(1000));
+  REQUIRE(Running);
+  CHECK(Running->m_Body == "answer");
+  REQUIRE(Late);
+  CHECK(Late->m_Body == "answer");
+  CHECK(Late->m_Headers.find("Connection") == std::string_view("close"));
+  CHECK(m_Daemon->exitCode() != 0);
+  const TimePoint Start = systemClock()();
+  m_Context.run_for(std::chrono::seconds(4));
+  CHECK(systemClock()() - Start < std::chrono::seconds(3));
+  CHECK(m_Daemon->exitCode() == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a daemon whose address is taken says so") {
+  m_Settings.m_Listen.m_Callers.m_Port = m_Store.address().m_Port;
+  m_Daemon.emplace(m_Context, m_Settings);
+  const Expected<Done> Started = capture([this] { return m_Daemon->start(); });
+  REQUIRE_FALSE(Started);
+  CHECK(Started.error().m_Peer == "127.0.0.1:" + std::to_string(m_Store.address().m_Port));
+}
