--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -22,23 +22,14 @@
 constexpr Duration StartCheckInterval = milliseconds(15);
 /// Covers a round trip to another region and a slow accept; a lost opening packet is not worth waiting for.
 constexpr Duration ConnectTimeout = milliseconds(300);
-/// A stream that has been silent for so long goes on at another upstream: longer than an upstream's own
-/// pauses under load, shorter than the pause that makes an answer late.
-constexpr Duration MostSilence = milliseconds(900);
-constexpr Duration LeastSilence = milliseconds(300);
 /// Part of the target latency that one attempt of a repeatable request may take to its head.
 constexpr double HeadShareOfTarget = 0.75;
 constexpr Duration LeastHeadTimeout = milliseconds(250);
 /// An upstream that is at work for others gets more time, in steps, up to a share of the target latency.
 constexpr Duration HeadExtension = milliseconds(300);
 constexpr double MostHeadShareOfTarget = 1.5;
-/// A stream's upstream that is at work for others may be silent for so long.
-constexpr Duration MostSilenceWhileAlive = milliseconds(2500);
 /// A busy engine reads the prompts of others first, and starting again elsewhere costs the reading so far.
 constexpr Duration LeastStreamHeadTimeout = milliseconds(1500);
-/// Answers up to this size are read whole before the caller gets them, so that a broken one can be repeated.
-constexpr std::size_t MostBufferedBytes = 256UL * 1024UL;
-constexpr std::size_t MostEventBytes = 1024UL * 1024UL;
 /// Upstreams are cold for seconds and spaced requests go on; a free place comes soon.
 constexpr Duration RetryAfterCold = milliseconds(400);
 constexpr Duration RetryAfterNoUpstream = milliseconds(1000);
@@ -48,7 +39,6 @@
 constexpr unsigned StatusUnauthorized = 401;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned FirstServerFailure = 500;
 
 const char *nameOf(RequestKind Value) {
   switch (Value) {
@@ -303,174 +293,6 @@
   return Failure.m_Code == ErrorCode::UpstreamTimeout ? AttemptOutcome::TimedOut : AttemptOutcome::Broken;
 }
 
-asio::awaitable<AttemptOutcome> ForwardedRequest::judge(HttpStream &Answer) {
-  const AnswerHead Read = m_Parts.m_Translation.m_ReadAnswer(Answer.status(), Answer.headers());
-  if (Read.m_WrongAddress)
-    co_return AttemptOutcome::WrongAddress;
-  if (Read.m_NotRun)
-    co_return AttemptOutcome::Refused;
-  if (!Read.m_Genuine)
-    co_return AttemptOutcome::Broken;
-  if (Answer.status() >= FirstServerFailure)
-    co_return co_await keepFailure(Answer);
-  if (!streams() || Answer.status() != 200)
-    co_return co_await relayWhole(Answer);
-
-  ModelAnswer Given;
-  Given.m_Model = m_Model;
-  Given.m_Confidence = Read.m_Confidence;
-  Given.m_UntilTarget = m_ArrivedAt + m_Route->m_TargetLatency - m_Parts.m_Clock();
-  Given.m_UntilDeadline = left();
-
-  Given.m_EventGap = m_Parts.m_State.m_Pace.usualGap();
-  if (!m_Route->m_Models.empty())
-    Given.m_LargestTakes =
-        m_Parts.m_State.m_ReadingTime.expected(m_Route->m_Models.back(), m_Caller.m_PromptTokens);
-  if (m_Caller.m_AnyModel && !m_Writer.begun())
-    Given.m_Models = m_Route->m_Models;
-  m_Confidence = Read.m_Confidence.value_or(0);
-  const EscalationDecision Larger = escalate(Given);
-  if (Larger.m_Model && countedAttempts() < m_Route->m_MaxAttempts && left() > Duration::zero() &&
-      m_Parts.m_State.budgetOf(m_Service).takeRetry(m_Parts.m_Clock())) {
-    m_Model = *Larger.m_Model;
-    m_Escalated = true;
-    m_Tried.clear();
-    Answer.cancel();
-    co_return AttemptOutcome::Dropped;
-  }
-  co_return co_await relayEvents(Answer);
-}
-
-asio::awaitable<AttemptOutcome> ForwardedRequest::keepFailure(HttpStream &Answer) {
-  HttpResponse Kept;
-  Kept.m_Status = Answer.status();
-  Kept.m_Headers = m_Parts.m_Translation.m_ToCaller(Answer.headers());
-  while (true) {
-    Expected<std::optional<std::string>> Part = co_await Answer.read(std::max(left(), Duration::zero()));
-    if (!Part)
-      co_return outcomeOf(Part.error());
-    if (!*Part)
-      break;
-    Kept.m_Body += **Part;
-    if (Kept.m_Body.size() > MostBufferedBytes)
-      co_return AttemptOutcome::Broken;
-  }
-  m_Failure = std::move(Kept);
-  co_return AttemptOutcome::Failed;
-}
-
-asio::awaitable<AttemptOutcome> ForwardedRequest::relayWhole(HttpStream &Answer) {
-  std::string Body;
-  while (true) {
-    Expected<std::optional<std::string>> Part = co_await Answer.read(std::max(left(), Duration::zero()));
-    if (!Part)
-      co_return outcomeOf(Part.error());
-    if (!*Part)
-      break;
-    Body += **Part;
-    if (Body.size() > MostBufferedBytes)
-      co_return co_await relayRest(Answer, std::move(Body));
-  }
-  HttpResponse Response;
-  Response.m_Status = Answer.status();
-  Response.m_Headers = m_Parts.m_Translation.m_ToCaller(Answer.headers());
-  Response.m_Body = std::move(Body);
-  const Expected<Done> Written = co_await m_Writer.send(std::move(Response));
-  co_return Written ? AttemptOutcome::Answered : AttemptOutcome::CallerGone;
-}
-
-asio::awaitable<AttemptOutcome> ForwardedRequest::relayRest(HttpStream &Answer, std::string Begun) {
-  Expected<Done> Written =
-      co_await m_Writer.begin(Answer.status(), m_Parts.m_Translation.m_ToCaller(Answer.headers()));
-  if (Written)
-    Written = co_await m_Writer.write(Begun);
-  while (Written) {
-    Expected<std::optional<std::string>> Part = co_await Answer.read(std::max(left(), Duration::zero()));
-    if (!Part)
-      co_return outcomeOf(Part.error());
-    if (!*Part)
-      break;
-    Written = co_await m_Writer.write(**Part);
-  }
-  if (Written)
-    Written = co_await m_Writer.finish();
-  co_return Written ? AttemptOutcome::Answered : AttemptOutcome::CallerGone;
-}
-
-Duration ForwardedRequest::silenceTimeout() const {
-  const Duration Left = std::max(left(), Duration::zero());
-  if (!mayRetry(retryState(), AttemptOutcome::TimedOut))
-    return Left;
-  Duration Silence = MostSilence;
-  if (m_Route->m_TargetGap > milliseconds::zero())
-    Silence = std::clamp<Duration>(m_Route->m_TargetGap * 3 / 4, LeastSilence, MostSilence);
-  return std::min(Left, Silence);
-}
-
-asio::awaitable<bool> ForwardedRequest::begin(HttpStream &Answer) {
-  if (m_Writer.begun())
-    co_return true;
-  HttpHeaders Headers = m_Parts.m_Translation.m_ToCaller(Answer.headers());
-  const Expected<Done> Begun = co_await m_Writer.begin(Answer.status(), std::move(Headers));
-  co_return Begun.hasValue();
-}
-
-asio::awaitable<std::optional<AttemptOutcome>> ForwardedRequest::forwardEvents(HttpStream &Answer,
-                                                                               EventSplitter &Events) {
-  std::string Ready;
-  while (const std::optional<StreamEvent> Event = Events.next()) {
-    const EventSequence::Verdict Verdict = m_Sequence.check(*Event);
-    if (Verdict == EventSequence::Verdict::Gap)
-      co_return AttemptOutcome::Broken;
-    if (Verdict == EventSequence::Verdict::Forward)
-      Ready += Event->m_Bytes;
-  }
-  if (Ready.empty())
-    co_return std::nullopt;
-  if (!co_await begin(Answer))
-    co_return AttemptOutcome::CallerGone;
-  const Expected<Done> Written = co_await m_Writer.write(Ready);
-  if (!Written)
-    co_return AttemptOutcome::CallerGone;
-  co_return std::nullopt;
-}
-
-bool ForwardedRequest::waitsOn(const Error &Failure, const UpstreamId &Target, TimePoint HeardAt) const {
-  const TimePoint Now = m_Parts.m_Clock();
-  return Failure.m_Code == ErrorCode::UpstreamTimeout && left() > Duration::zero() &&
-         Now - HeardAt < MostSilenceWhileAlive && m_Parts.m_State.m_Pool.alive(Target, Now);
-}
-
-asio::awaitable<AttemptOutcome> ForwardedRequest::relayEvents(HttpStream &Answer) {
-  EventSplitter Events;
-  const UpstreamId Target = m_SentTo.back();
-  TimePoint HeardAt = m_Parts.m_Clock();
-  while (true) {
-    Expected<std::optional<std::string>> Part = co_await Answer.read(silenceTimeout());
-    const TimePoint Now = m_Parts.m_Clock();
-    if (!Part && waitsOn(Part.error(), Target, HeardAt))
-      continue;
-    if (!Part)
-      co_return outcomeOf(Part.error());
-    if (!*Part)
-      break;
-    m_Parts.m_State.m_Pool.onEventGap(Target, Now - HeardAt);
-    m_Parts.m_State.m_Pace.record(Now - HeardAt);
-    m_Parts.m_State.m_Pool.onHeard(Target, Now);
-    HeardAt = Now;
-    Events.feed(**Part);
-    const std::optional<AttemptOutcome> Ended = co_await forwardEvents(Answer, Events);
-    if (Ended)
-      co_return *Ended;
-    if (Events.pendingBytes() > MostEventBytes || left() <= Duration::zero())
-      co_return AttemptOutcome::TimedOut;
-  }
-  if (Events.hasPartial() || !m_Writer.begun())
-    co_return AttemptOutcome::Broken;
-  const Expected<Done> Written = co_await m_Writer.finish();
-  co_return Written ? AttemptOutcome::Answered : AttemptOutcome::CallerGone;
-}
-
 void ForwardedRequest::noteEnd(const UpstreamId &Target, const VersionId &Version, AttemptOutcome Outcome) {
   endWork(Target);
   m_Parts.m_State.m_Pool.onEnded(Target, Outcome, m_Parts.m_Clock());
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -36,6 +36,9 @@
   /// @brief Sends the request to one upstream and relays the answer if it may be.
   boost::asio::awaitable<AttemptOutcome> attempt(PooledUpstream &Target);
   boost::asio::awaitable<AttemptOutcome> judge(HttpStream &Answer);
+  /// @brief Reads an answer's body up to a limit.
+  /// @return whether the body has ended; false: it is larger, and the rest is still to be read
+  boost::asio::awaitable<Expected<bool>> readBody(HttpStream &Answer, std::string &Body);
   boost::asio::awaitable<AttemptOutcome> keepFailure(HttpStream &Answer);
   boost::asio::awaitable<AttemptOutcome> relayWhole(HttpStream &Answer);
   boost::asio::awaitable<AttemptOutcome> relayRest(HttpStream &Answer, std::string Begun);
