--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -185,8 +185,8 @@
   if (const VersionTrial *Trial = State.trialOf(m_Service)) {
     const std::uint64_t Key = m_Caller.m_Session ? stableHash(*m_Caller.m_Session) : mixHash(m_Hash, 2);
     Query.m_Versions = Trial->ruleFor(Key, m_Caller.m_Session.has_value(), Now);
-    // A request that failed on a version under trial goes on with the old one.
-    if (m_FailedOnNew && Trial->state() == TrialState::Running)
+    // A request that has failed already goes on with the version that is known.
+    if (m_HadFailure && Trial->state() == TrialState::Running)
       Query.m_Versions = VersionRule{std::nullopt, Trial->order().m_To};
   }
   if (const ForwardService *Service = m_Directory->service(m_Service))
@@ -322,17 +322,18 @@
     m_Parts.m_Metrics
         .distribution("bulrushpitch_attempt_head_seconds", "From sending to the head of an answer.")
         .record(m_HeadTook);
-  VersionTrial *Trial = m_Parts.m_State.trialOf(m_Service);
   const bool Good = Outcome == AttemptOutcome::Answered || Outcome == AttemptOutcome::Dropped;
   const bool Counts = Good || Outcome == AttemptOutcome::Failed || Outcome == AttemptOutcome::Broken ||
                       Outcome == AttemptOutcome::TimedOut;
+  m_HadFailure = m_HadFailure || (Counts && !Good);
+  VersionTrial *Trial = m_Parts.m_State.trialOf(m_Service);
   if (!Trial || !Counts)
     return;
   TrialSample Sample;
   Sample.m_Route = m_Route->m_Name + (m_Escalated ? "/escalated" : "");
   Sample.m_OnNew = Version == Trial->order().m_To;
   Sample.m_Failed = !Good;
-  m_FailedOnNew = m_FailedOnNew || (Sample.m_OnNew && Sample.m_Failed);
+
   Sample.m_Latency = m_HeadTook;
   Trial->record(Sample);
 }
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -91,7 +91,7 @@
   bool m_Escalated = false;
   std::size_t m_AskedModel = 0; ///< Of the attempt under way, for the log.
   int m_Confidence = 0;         ///< Of the last answer, for the log.
-  bool m_FailedOnNew = false;   ///< An attempt failed on a version under trial.
+  bool m_HadFailure = false;    ///< An attempt failed, so that no version under trial is asked any more.
   AttemptOutcome m_Last = AttemptOutcome::NotSent;
   NoPlace m_Obstacle = NoPlace::NoUpstream;
   bool m_NoPlace = false;
--- a/packages/gateway/tests/forwarder_test.cpp
+++ b/packages/gateway/tests/forwarder_test.cpp
@@ -1,5 +1,7 @@
 #include "bulrushpitch/gateway/forwarder.h"
 
+#include "bulrushpitch/core/hash.h"
+
 #include "scripted_upstream.h"
 
 #include <boost/asio/detached.hpp>
@@ -388,6 +390,36 @@
   CHECK(Got.m_Body == event(1) + event(2) + event(3) + event(4));
 }
 
+// Guards against a stream that breaks and is finished off by a version under trial.
+TEST_CASE_FIXTURE(Fixture, "a request that failed goes on with the old version") {
+  configure(RequestKind::Stream, 3);
+  VersionTrial Trial(TrialOrder{ServiceId("s"), VersionId("v2"), std::chrono::seconds(100), 1},
+                     systemClock()());
+  Trial.confirm();
+  HttpRequest Sent = request();
+  const auto OnNew = [&] {
+    const std::uint64_t Key = mixHash(stableHash("attempt-" + std::to_string(m_Requests)), 2);
+    return Trial.ruleFor(Key, false, systemClock()()).m_Only.has_value();
+  };
+  while (!OnNew())
+    Sent = request();
+  m_State->m_Trials.emplace(ServiceId("s"), Trial);
+  ScriptedUpstream *New = nullptr;
+  add([&](const std::string &, int) {
+    // The new version's upstream comes while the old one's answer is under way.
+    New = &add(always({whole("", "signed: 1\r\n", 500)}));
+    RegisteredUpstream Entry = m_State->m_Pool.find(UpstreamId("u3"))->m_Entry;
+    Entry.m_Version = VersionId("v2");
+    m_State->m_Pool.update(Entry, systemClock()());
+    return ScriptedReply{streamHead() + events(1, 2), milliseconds(0), true};
+  });
+  add(always({streamHead() + events(3, 4) + StreamEnd}));
+  const Answer Got = ask(std::move(Sent));
+  CHECK(Got.m_Complete);
+  REQUIRE(New);
+  CHECK(New->requests().empty());
+}
+
 // Guards against ending an answer because its upstream is slow, when nobody else may be asked any more.
 TEST_CASE_FIXTURE(Fixture, "the last attempt waits until the deadline") {
   configure(RequestKind::Stream, 2);
