--- a/packages/config/src/detail/yaml_tree.h
+++ b/packages/config/src/detail/yaml_tree.h
@@ -32,6 +32,12 @@
 /// equal keys one would be lost.
 YamlOutcome readYaml(std::string_view Text, const std::string &File);
 
+/// @return the faults with the file and the line of their fields
+std::vector<Fault> locateFaults(const FaultSink &Sink, const YamlDocument &Document, const std::string &File);
+
+/// @return the fault of a file that does not hold one document
+Fault documentCountFault(const std::string &File, std::size_t Documents);
+
 } // namespace bulrushpitch::detail
 
 #endif // BULRUSHPITCH_CONFIG_DETAIL_YAML_TREE_H
--- a/packages/config/src/gateway_settings.cpp
+++ b/packages/config/src/gateway_settings.cpp
@@ -53,21 +53,14 @@
   GatewaySettingsOutcome Out;
   Out.m_Faults = std::move(Read.m_Faults);
   if (Read.m_Documents.size() != 1) {
-    Fault Found;
-    Found.m_Code = ErrorCode::DocumentSyntax;
-    Found.m_File = File;
-    Found.m_Message = "must hold one YAML document, has " + std::to_string(Read.m_Documents.size());
-    Out.m_Faults.push_back(std::move(Found));
+    Out.m_Faults.push_back(detail::documentCountFault(File, Read.m_Documents.size()));
     return Out;
   }
   const detail::YamlDocument &Document = Read.m_Documents.front();
   detail::FaultSink Sink;
   detail::Codec<GatewaySettings>::decode(Document.m_Value, Out.m_Settings, detail::requiredField(""), Sink);
-  for (Fault Found : Sink.faults()) {
-    Found.m_File = File;
-    Found.m_Line = Document.lineOf(Found.m_Field);
+  for (Fault &Found : detail::locateFaults(Sink, Document, File))
     Out.m_Faults.push_back(std::move(Found));
-  }
   return Out;
 }
 
--- a/packages/config/src/settings.cpp
+++ b/packages/config/src/settings.cpp
@@ -108,11 +108,8 @@
   checkListen(Out.m_Settings.m_Listen, Sink);
   if (Document.m_Value.contains("token_keys"))
     checkTokenKeys(Out.m_Settings.m_TokenKeys, Sink);
-  for (Fault Found : Sink.faults()) {
-    Found.m_File = File;
-    Found.m_Line = Document.lineOf(Found.m_Field);
+  for (Fault &Found : locateFaults(Sink, Document, File))
     Out.m_Faults.push_back(std::move(Found));
-  }
 }
 
 } // namespace
@@ -141,11 +138,7 @@
   if (Read.m_Documents.size() == 1) {
     detail::decodeSettings(Read.m_Documents.front(), Out, File);
   } else if (Out.m_Faults.empty()) {
-    Fault Found;
-    Found.m_Code = ErrorCode::DocumentSyntax;
-    Found.m_File = File;
-    Found.m_Message = "must hold one YAML document, has " + std::to_string(Read.m_Documents.size());
-    Out.m_Faults.push_back(std::move(Found));
+    Out.m_Faults.push_back(detail::documentCountFault(File, Read.m_Documents.size()));
   }
   if (Out.m_Faults.empty())
     for (TokenKey &Key : Out.m_Settings.m_TokenKeys)
--- a/packages/config/src/yaml_tree.cpp
+++ b/packages/config/src/yaml_tree.cpp
@@ -198,4 +198,22 @@
   return Out;
 }
 
+std::vector<Fault> locateFaults(const FaultSink &Sink, const YamlDocument &Document,
+                                const std::string &File) {
+  std::vector<Fault> Located = Sink.faults();
+  for (Fault &Found : Located) {
+    Found.m_File = File;
+    Found.m_Line = Document.lineOf(Found.m_Field);
+  }
+  return Located;
+}
+
+Fault documentCountFault(const std::string &File, std::size_t Documents) {
+  Fault Found;
+  Found.m_Code = ErrorCode::DocumentSyntax;
+  Found.m_File = File;
+  Found.m_Message = "must hold one YAML document, has " + std::to_string(Documents);
+  return Found;
+}
+
 } // namespace bulrushpitch::detail
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -1,6 +1,7 @@
 #include "bulrushpitch/daemon/daemon.h"
 
 #include "bulrushpitch/daemon/operator_api.h"
+#include "bulrushpitch/gateway/endpoint.h"
 #include "bulrushpitch/platform/http_platform.h"
 
 #include <glog/logging.h>
@@ -15,8 +16,6 @@
 constexpr Duration ListTimeout = std::chrono::milliseconds(900);
 constexpr Duration RatingTimeout = std::chrono::seconds(2);
 
-Endpoint endpointOf(const SocketAddress &Address) { return Endpoint{Address.m_Address, Address.m_Port}; }
-
 } // namespace
 
 class Daemon::Impl {
--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -3,6 +3,7 @@
 #include "bulrushpitch/adapter/messages.h"
 #include "bulrushpitch/adapter/table_store.h"
 #include "bulrushpitch/gateway/control_service.h"
+#include "bulrushpitch/gateway/endpoint.h"
 #include "bulrushpitch/gateway/entry_service.h"
 
 #include <algorithm>
@@ -32,7 +33,7 @@
       : m_Context(Context), m_Settings(std::move(Read)), m_Clock(systemClock()),
         m_Log(m_Clock, systemWallClock(), standardOutput(), LogLinesPerSecond), m_Metrics(m_Clock),
         m_Translation(platformMessages()), m_Upstreams(Context, "call upstream"),
-        m_Store(Context, Endpoint{m_Settings.m_Store.m_Address, m_Settings.m_Store.m_Port},
+        m_Store(Context, endpointOf(m_Settings.m_Store),
                 [this](std::string_view Key, const Error &Why) { noteIgnored(Key, Why); }),
         m_State(m_Settings), m_DrainCheck(
                                  Context, [] { return DrainCheckInterval; }, [this] { checkDrained(); }) {
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -36,21 +36,26 @@
   google::InitGoogleLogging(Program);
 }
 
-int serve(const Settings &Read) {
-  boost::asio::io_context Context(1);
-  Daemon Node(Context, Read);
+/// @brief Starts a daemon and runs it until its graceful stop has ended.
+template <typename Node> int runUntilStopped(boost::asio::io_context &Context, Node &Running) {
   boost::asio::signal_set Signals(Context, SIGTERM, SIGINT);
-  Signals.async_wait([&Node](boost::system::error_code Code, int) {
+  Signals.async_wait([&Running](boost::system::error_code Code, int) {
     if (!Code)
-      Node.drain();
+      Running.drain();
   });
-  Expected<Done> Started = capture([&] { return Node.start(); });
+  const Expected<Done> Started = capture([&] { return Running.start(); });
   if (!Started) {
     LOG(ERROR) << "step=start error=\"" << Started.error() << '"';
     return ExitNotStarted;
   }
   Context.run();
-  return Node.exitCode();
+  return Running.exitCode();
+}
+
+int serve(const Settings &Read) {
+  boost::asio::io_context Context(1);
+  Daemon Node(Context, Read);
+  return runUntilStopped(Context, Node);
 }
 
 void waitForReload(boost::asio::signal_set &Reload, GatewayDaemon &Node, const std::string &File) {
@@ -69,20 +74,9 @@
 int serveGateway(const GatewaySettings &Read, const std::string &File) {
   boost::asio::io_context Context(1);
   GatewayDaemon Node(Context, Read);
-  boost::asio::signal_set Stop(Context, SIGTERM, SIGINT);
-  Stop.async_wait([&Node](boost::system::error_code Code, int) {
-    if (!Code)
-      Node.drain();
-  });
   boost::asio::signal_set Reload(Context, SIGHUP);
   waitForReload(Reload, Node, File);
-  const Expected<Done> Started = capture([&] { return Node.start(); });
-  if (!Started) {
-    LOG(ERROR) << "step=start error=\"" << Started.error() << '"';
-    return ExitNotStarted;
-  }
-  Context.run();
-  return Node.exitCode();
+  return runUntilStopped(Context, Node);
 }
 
 /// @return the exit code if the settings are faulty, after they were printed
--- a/packages/forward/include/bulrushpitch/forward/objects.h
+++ b/packages/forward/include/bulrushpitch/forward/objects.h
@@ -60,9 +60,7 @@
 /// @brief A group of like upstreams.
 struct ForwardService {
   ServiceId m_Id;
-  double m_ColdPerSecond = 0.0; ///< Requests per second that a cold upstream bears; 0: no limit.
-  Duration m_ColdTime{};        ///< How long an upstream is cold after its start.
-  std::uint32_t m_MaxConnections = 0;
+  double m_ColdPerSecond = 0.0;           ///< Requests per second that a cold upstream bears; 0: no limit.
   std::map<ModelId, double> m_ModelCosts; ///< Per 1,000 tokens.
 };
 
--- a/packages/forward/include/bulrushpitch/forward/placement.h
+++ b/packages/forward/include/bulrushpitch/forward/placement.h
@@ -40,6 +40,12 @@
   std::vector<InstanceId> m_Daemons; ///< All daemons, this one included.
 };
 
+/// @brief Orders the daemons for one matter, as each of them computes it, without messages.
+/// @param Key names the matter, for example an upstream or a service
+/// @return this daemon's place, from 0
+/// @complexity linear in the number of daemons
+std::uint32_t daemonRank(std::string_view Key, const PlacementContext &Here);
+
 /// @brief Why no upstream can take a request.
 enum class NoPlace : std::uint8_t {
   NoUpstream, ///< None is registered that may take it.
--- a/packages/forward/include/bulrushpitch/forward/upstream_pool.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_pool.h
@@ -51,6 +51,7 @@
   /// @brief Takes the failure domains that operators have taken out. The upstreams of a domain that returns
   /// count as cold for a while.
   void setDomainsOut(const std::set<DomainId> &Out, TimePoint Now);
+  const std::set<DomainId> &domainsOut() const { return m_Out; }
 
   /// @name Own requests
   /// @{
@@ -86,7 +87,7 @@
   std::size_t size() const { return m_Upstreams.size(); }
 
 private:
-  void erase(const UpstreamId &Id);
+  void store(const RegisteredUpstream &Entry, TimePoint Now);
   void index();
 
   std::map<DomainId, RegionId> m_Regions;
--- a/packages/forward/include/bulrushpitch/forward/version_trial.h
+++ b/packages/forward/include/bulrushpitch/forward/version_trial.h
@@ -60,7 +60,6 @@
   void onPeerEvidence(const InstanceId &Daemon, double Evidence, TimePoint Now);
   /// @brief Hands over this daemon's evidence if it has risen since it was handed over last.
   std::optional<double> takeNews();
-  std::uint64_t newAnswers() const { return m_NewAnswers; }
 
 private:
   struct RouteLatency {
--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -47,11 +47,7 @@
 
 std::uint32_t coldShare(const PooledUpstream &Candidate, const PlacementQuery &Query,
                         const PlacementContext &Here) {
-  const std::uint64_t Key = stableHash(Candidate.m_Entry.m_Id.value());
-  const std::uint64_t Own = mixHash(Key, stableHash(Here.m_Instance.value()));
-  std::uint32_t Rank = 0;
-  for (const InstanceId &Daemon : Here.m_Daemons)
-    Rank += mixHash(Key, stableHash(Daemon.value())) < Own ? 1 : 0;
+  const std::uint32_t Rank = daemonRank(Candidate.m_Entry.m_Id.value(), Here);
   const std::uint32_t Daemons = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(Here.m_Daemons.size()));
   return shareOfColdLimit(Query.m_ColdPerSecond, Daemons, Rank);
 }
@@ -140,6 +136,15 @@
 
 } // namespace
 
+std::uint32_t daemonRank(std::string_view Key, const PlacementContext &Here) {
+  const std::uint64_t KeyHash = stableHash(Key);
+  const std::uint64_t Own = mixHash(KeyHash, stableHash(Here.m_Instance.value()));
+  return static_cast<std::uint32_t>(
+      std::count_if(Here.m_Daemons.begin(), Here.m_Daemons.end(), [&](const InstanceId &Daemon) {
+        return mixHash(KeyHash, stableHash(Daemon.value())) < Own;
+      }));
+}
+
 std::string_view nameOf(NoPlace Value) {
   switch (Value) {
   case NoPlace::NoUpstream:
@@ -172,10 +177,8 @@
   prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.ejected(Candidate, Now); });
   prefer(Candidates,
          [&](const PooledUpstream &Candidate) { return !Pool.unreachable(Candidate.m_Entry.m_Domain, Now); });
-  if (Query.m_Affinity) {
-
+  if (Query.m_Affinity)
     prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.cold(Candidate, Now); });
-  }
   PooledUpstream *Chosen =
       Query.m_Affinity ? byAffinity(Pool, Candidates, Query, Here, Now) : byWait(Candidates, Here);
   if (Query.m_ColdPerSecond > 0.0 && Pool.cold(*Chosen, Now))
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -44,6 +44,11 @@
 UpstreamPool::UpstreamPool(std::map<DomainId, RegionId> Regions) : m_Regions(std::move(Regions)) {}
 
 void UpstreamPool::update(const RegisteredUpstream &Entry, TimePoint Now) {
+  store(Entry, Now);
+  index();
+}
+
+void UpstreamPool::store(const RegisteredUpstream &Entry, TimePoint Now) {
   const bool Known = m_Upstreams.count(Entry.m_Id) > 0;
   PooledUpstream &Target = m_Upstreams[Entry.m_Id];
   const bool Restarted = Known && (Target.m_Entry.m_StartedAt != Entry.m_StartedAt ||
@@ -59,25 +64,27 @@
   Target.m_LapsesAt.reset();
   if (Entry.m_ColdFor > Duration::zero())
     Target.m_ColdUntil = std::max(Target.m_ColdUntil, Now + Entry.m_ColdFor + ColdMargin);
-  index();
 }
 
 void UpstreamPool::remove(const UpstreamId &Id, TimePoint Now, Duration Grace) {
   const auto Found = m_Upstreams.find(Id);
   if (Found == m_Upstreams.end())
     return;
-  if (Grace <= Duration::zero() || Found->second.m_Entry.m_Draining)
-    erase(Id);
-  else if (!Found->second.m_LapsesAt)
+  if (Grace <= Duration::zero() || Found->second.m_Entry.m_Draining) {
+    m_Upstreams.erase(Found);
+    index();
+  } else if (!Found->second.m_LapsesAt) {
     Found->second.m_LapsesAt = Now + Grace;
+  }
 }
 
 void UpstreamPool::replaceAll(const std::vector<RegisteredUpstream> &Entries, TimePoint Now, Duration Grace) {
   std::set<UpstreamId> Listed;
   for (const RegisteredUpstream &Entry : Entries) {
     Listed.insert(Entry.m_Id);
-    update(Entry, Now);
+    store(Entry, Now);
   }
+  index();
   std::vector<UpstreamId> Missing;
   for (const auto &Known : m_Upstreams)
     if (Listed.count(Known.first) == 0)
@@ -87,12 +94,11 @@
 }
 
 void UpstreamPool::expire(TimePoint Now) {
-  std::vector<UpstreamId> Lapsed;
-  for (const auto &Known : m_Upstreams)
-    if (Known.second.m_LapsesAt && *Known.second.m_LapsesAt <= Now)
-      Lapsed.push_back(Known.first);
-  for (const UpstreamId &Id : Lapsed)
-    erase(Id);
+  const std::size_t Lapsed = std::erase_if(m_Upstreams, [Now](const auto &Known) {
+    return Known.second.m_LapsesAt && *Known.second.m_LapsesAt <= Now;
+  });
+  if (Lapsed > 0)
+    index();
 }
 
 void UpstreamPool::setDomainsOut(const std::set<DomainId> &Out, TimePoint Now) {
@@ -209,11 +215,6 @@
   return Found == m_Upstreams.end() ? nullptr : &Found->second;
 }
 
-void UpstreamPool::erase(const UpstreamId &Id) {
-  m_Upstreams.erase(Id);
-  index();
-}
-
 void UpstreamPool::index() {
   m_ByService.clear();
   for (auto &Known : m_Upstreams)
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -12,7 +12,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 
 namespace bulrushpitch {
 
@@ -47,7 +46,7 @@
   bool m_RegistryRead = false;
   UpstreamPool m_Pool;
   std::map<ServiceId, VersionTrial> m_Trials;
-  std::set<DomainId> m_DomainsOut;
+
   PlacementContext m_Here;
   ReadingTime m_ReadingTime;
   StreamPace m_Pace;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -1,7 +1,5 @@
 #include "bulrushpitch/gateway/control_service.h"
 
-#include "bulrushpitch/core/hash.h"
-
 #include <algorithm>
 #include <vector>
 
@@ -179,17 +177,16 @@
 
   void apply(const OrderChanges &Changes) {
     applyConfig(Changes);
-    if (Changes.m_Whole)
-      m_State.m_DomainsOut.clear();
+    std::set<DomainId> Out = Changes.m_Whole ? std::set<DomainId>() : m_State.m_Pool.domainsOut();
     for (const DomainId &Domain : Changes.m_DomainsOut) {
-      m_State.m_DomainsOut.insert(Domain);
+      Out.insert(Domain);
       m_Log.add(LogClass::State, "domain_out", {{"domain", std::string_view(Domain.value())}});
     }
     for (const DomainId &Domain : Changes.m_DomainsBack) {
-      m_State.m_DomainsOut.erase(Domain);
+      Out.erase(Domain);
       m_Log.add(LogClass::State, "domain_back", {{"domain", std::string_view(Domain.value())}});
     }
-    m_State.m_Pool.setDomainsOut(m_State.m_DomainsOut, m_Clock());
+    m_State.m_Pool.setDomainsOut(Out, m_Clock());
     for (const TrialOrder &Order : Changes.m_Trials)
       applyTrialOrder(Order);
     for (const ServiceId &Service : Changes.m_TrialsWithdrawn)
@@ -285,16 +282,6 @@
                        [](const auto &Entry) { return Entry.second.state() == TrialState::Running; });
   }
 
-  /// Which daemon acts first on a service's duty, as each daemon computes it.
-  std::size_t rankFor(const ServiceId &Service) const {
-    const std::vector<InstanceId> &Daemons = m_State.m_Here.m_Daemons;
-    const std::uint64_t Key = stableHash(Service.value());
-    const std::uint64_t Own = mixHash(Key, stableHash(m_State.m_Here.m_Instance.value()));
-    return static_cast<std::size_t>(std::count_if(Daemons.begin(), Daemons.end(), [&](const InstanceId &Id) {
-      return mixHash(Key, stableHash(Id.value())) < Own;
-    }));
-  }
-
   void onDutyTick() {
     m_State.m_Pool.expire(m_Clock());
     m_Log.flush();
@@ -315,7 +302,7 @@
     }
     const TimePoint Since = m_DutySince.emplace(Service, Now).first->second;
     const bool Urgent = Verdict == TrialState::RolledBack && Trial.convinced();
-    if (!Urgent && Now - Since < DutyStagger * rankFor(Service))
+    if (!Urgent && Now - Since < DutyStagger * daemonRank(Service.value(), m_State.m_Here))
       return;
     if (Now < m_NextWrite)
       return;
--- a/packages/gateway/src/entry_service.cpp
+++ b/packages/gateway/src/entry_service.cpp
@@ -1,5 +1,7 @@
 #include "bulrushpitch/gateway/entry_service.h"
 
+#include "bulrushpitch/gateway/endpoint.h"
+
 namespace bulrushpitch {
 
 namespace asio = boost::asio;
@@ -16,8 +18,6 @@
 /// Leaves descriptors for connections to upstreams and the store.
 constexpr std::size_t MostCallerConnections = 2'500;
 
-Endpoint endpointOf(const SocketAddress &Address) { return Endpoint{Address.m_Address, Address.m_Port}; }
-
 ServerLimits callerLimits(const CallerLimits &Limits) {
   ServerLimits Server;
   Server.m_MaxHeaderBytes = Limits.m_MaxHeaderBytes;
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -180,28 +180,32 @@
   if (m_Team)
     Query.m_TeamRegions = m_Team->m_Regions;
   Query.m_Affinity = m_Caller.m_PromptHash;
-  Query.m_SharedWork = State.m_ReadingTime.expected(askedModel(), m_Caller.m_SharedTokens);
+  Query.m_SharedWork =
+      State.m_ReadingTime.expected(askedModel().value_or(ModelId()), m_Caller.m_SharedTokens);
   Query.m_Tried = m_Tried;
-  if (const VersionTrial *Trial = State.trialOf(m_Service)) {
+  const VersionTrial *Trial = State.trialOf(m_Service);
+  const bool OnTrial = Trial && Trial->state() == TrialState::Running;
+  if (Trial) {
     const std::uint64_t Key = m_Caller.m_Session ? stableHash(*m_Caller.m_Session) : mixHash(m_Hash, 2);
     Query.m_Versions = Trial->ruleFor(Key, m_Caller.m_Session.has_value(), Now);
     // A request that has failed already goes on with the version that is known.
-    if (m_HadFailure && Trial->state() == TrialState::Running)
+    if (m_HadFailure && OnTrial)
       Query.m_Versions = VersionRule{std::nullopt, Trial->order().m_To};
   }
   if (const ForwardService *Service = m_Directory->service(m_Service))
     Query.m_ColdPerSecond = State.coldLimit(*Service);
   const Placement Found = place(State.m_Pool, Query, State.m_Here, Now);
-  const VersionTrial *Trial = State.trialOf(m_Service);
-  if (Found.m_Upstream || !Trial || Trial->state() != TrialState::Running)
+  if (Found.m_Upstream || !OnTrial)
     return Found;
   // The new version's upstreams may not have come yet, or the old one's be gone already.
   Query.m_Versions = Query.m_Versions.m_Only ? VersionRule{std::nullopt, Trial->order().m_To} : VersionRule{};
   return place(State.m_Pool, Query, State.m_Here, Now);
 }
 
-ModelId ForwardedRequest::askedModel() const {
-  return m_Caller.m_AnyModel && !m_Route->m_Models.empty() ? m_Route->m_Models[m_Model] : ModelId();
+std::optional<ModelId> ForwardedRequest::askedModel() const {
+  if (!m_Caller.m_AnyModel || m_Route->m_Models.empty())
+    return std::nullopt;
+  return m_Route->m_Models[m_Model];
 }
 
 void ForwardedRequest::endWork(const UpstreamId &Target) {
@@ -252,8 +256,7 @@
   Call.m_Left = left();
   if (m_Team)
     Call.m_Team = m_Team->m_Id;
-  if (!m_Route->m_Models.empty() && m_Caller.m_AnyModel)
-    Call.m_Model = m_Route->m_Models[m_Model];
+  Call.m_Model = askedModel();
   Call.m_Priority = m_Team && m_Team->m_Priority ? *m_Team->m_Priority : m_Route->m_Priority;
   Call.m_AfterEvent = m_Sequence.last();
   return Call;
@@ -265,14 +268,13 @@
   m_Tried.push_back(Id);
   m_Handle = std::make_shared<CallHandle>();
   HttpRequest Sent = m_Parts.m_Translation.m_ToUpstream(m_Request, upstreamCall(Target));
-  ++m_Sent;
   m_SentTo.push_back(Id);
   CallOptions Options = callOptions(Id);
   m_AskedModel = m_Model;
   m_Confidence = 0;
   m_SentAt = m_Parts.m_Clock();
   m_HeadTook = Duration::zero();
-  const ModelId Asked = askedModel();
+  const ModelId Asked = askedModel().value_or(ModelId());
   m_Work = m_Parts.m_State.m_ReadingTime.expected(Asked, m_Caller.m_PromptTokens);
   m_Parts.m_State.m_Pool.onSent(Id, m_Work);
   Expected<Head> Opened = co_await m_Parts.m_Upstreams.open(Address, std::move(Sent), std::move(Options));
@@ -299,7 +301,7 @@
   m_Handle.reset();
   if (Outcome == AttemptOutcome::NotSent) {
     ++m_NotSent;
-    --m_Sent;
+
     m_SentTo.pop_back();
   }
   if (!certainlyNotRun(Outcome))
@@ -333,7 +335,6 @@
   Sample.m_Route = m_Route->m_Name + (m_Escalated ? "/escalated" : "");
   Sample.m_OnNew = Version == Trial->order().m_To;
   Sample.m_Failed = !Good;
-
   Sample.m_Latency = m_HeadTook;
   Trial->record(Sample);
 }
@@ -378,7 +379,7 @@
                      {"outcome", Outcome},
                      {"last", nameOf(m_Last)},
                      {"status", static_cast<std::int64_t>(Status)},
-                     {"attempts", static_cast<std::int64_t>(m_Sent)},
+                     {"attempts", static_cast<std::int64_t>(m_SentTo.size())},
                      {"took_ms", Took}});
   m_Parts.m_Metrics
       .counter("bulrushpitch_requests_total", "Requests that ended, by outcome.",
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -56,7 +56,8 @@
   bool mayGoOn(AttemptOutcome Last);
   CallOptions callOptions(const UpstreamId &Target) const;
   Duration silenceTimeout() const;
-  ModelId askedModel() const;
+  /// @return the model that the router chooses; nothing if the caller names one
+  std::optional<ModelId> askedModel() const;
   void endWork(const UpstreamId &Target);
   UpstreamCall upstreamCall(const PooledUpstream &Target) const;
   void noteEnd(const UpstreamId &Target, const VersionId &Version, AttemptOutcome Outcome);
@@ -84,7 +85,7 @@
   bool m_CallerGone = false;
   std::vector<UpstreamId> m_Tried;
   std::vector<UpstreamId> m_SentTo; ///< Of each attempt that may have reached its upstream.
-  std::uint32_t m_Sent = 0;
+
   std::uint32_t m_NotSent = 0;
   bool m_MayHaveRun = false;
   std::size_t m_Model = 0; ///< Index into the route's models.
--- a/packages/gateway/src/relayed_answer.cpp
+++ b/packages/gateway/src/relayed_answer.cpp
@@ -44,7 +44,6 @@
   Given.m_Confidence = Read.m_Confidence;
   Given.m_UntilTarget = m_ArrivedAt + m_Route->m_TargetLatency - m_Parts.m_Clock();
   Given.m_UntilDeadline = left();
-
   Given.m_EventGap = m_Parts.m_State.m_Pace.usualGap();
   if (!m_Route->m_Models.empty())
     Given.m_LargestTakes =
--- a/packages/net/include/bulrushpitch/net/http_client.h
+++ b/packages/net/include/bulrushpitch/net/http_client.h
@@ -90,8 +90,6 @@
   boost::asio::awaitable<Expected<std::unique_ptr<HttpStream>>> open(Endpoint Peer, HttpRequest Request,
                                                                      CallOptions Options);
 
-  /// @return connections that were made so far
-  std::uint64_t connectionsMade() const;
   /// @return bytes sent and received so far, over all peers
   std::uint64_t bytesSent() const;
   std::uint64_t bytesReceived() const;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -139,7 +139,6 @@
       co_return error(ErrorCode::UpstreamConnect, Peer, Ran::No, "no connection within the timeout");
     if (Code)
       co_return error(ErrorCode::UpstreamConnect, Peer, Ran::No, Code.message());
-    ++m_Connected;
     Fresh->m_Watched.m_Socket.set_option(asio::ip::tcp::no_delay(true), Code);
     detectSilence(Fresh->m_Watched.m_Socket);
     co_return Fresh;
@@ -154,7 +153,7 @@
   std::string m_Step;
   std::shared_ptr<detail::DeadlineSweeper> m_Sweeper;
   std::map<Endpoint, std::vector<std::shared_ptr<Connection>>> m_Idle;
-  std::uint64_t m_Connected = 0;
+
   std::uint64_t m_Sent = 0;
   std::uint64_t m_Received = 0;
 };
@@ -223,19 +222,13 @@
   asio::awaitable<Expected<std::optional<std::string>>> read(Duration Timeout) override {
     m_Connection->m_Watched.arm(Timeout);
     while (!m_Parser->is_done()) {
-      std::array<char, ReadBytes> Bytes;
-      m_Parser->get().body().data = Bytes.data();
-      m_Parser->get().body().size = Bytes.size();
-      m_Parser->get().body().more = true;
-      error_code Code;
-      m_Owner->m_Received += co_await http::async_read_some(socket(), m_Connection->m_Buffer, *m_Parser,
-                                                            asio::redirect_error(asio::use_awaitable, Code));
-      const std::size_t Filled = Bytes.size() - m_Parser->get().body().size;
-      if (Code && Code != http::error::need_buffer)
+      std::string Part;
+      const error_code Code = co_await readSome(Part);
+      if (Code)
         co_return readError(Code);
-      if (Filled > 0) {
+      if (!Part.empty()) {
         m_Connection->m_Watched.disarm();
-        co_return std::optional<std::string>(std::string(Bytes.data(), Filled));
+        co_return std::optional<std::string>(std::move(Part));
       }
     }
     m_Connection->m_Watched.disarm();
@@ -259,17 +252,24 @@
     Used->m_RequestSent = !Code;
   }
 
+  /// Reads what has arrived of the body, which may be nothing of it.
+  asio::awaitable<error_code> readSome(std::string &Part) {
+    std::array<char, ReadBytes> Bytes;
+    m_Parser->get().body().data = Bytes.data();
+    m_Parser->get().body().size = Bytes.size();
+    m_Parser->get().body().more = true;
+    error_code Code;
+    m_Owner->m_Received += co_await http::async_read_some(socket(), m_Connection->m_Buffer, *m_Parser,
+                                                          asio::redirect_error(asio::use_awaitable, Code));
+    Part.assign(Bytes.data(), Bytes.size() - m_Parser->get().body().size);
+    co_return Code == http::error::need_buffer ? error_code() : Code;
+  }
+
   /// Reads the rest of a response that belongs to another request.
   asio::awaitable<bool> dropBody() {
+    std::string Dropped;
     while (!m_Parser->is_done()) {
-      std::array<char, ReadBytes> Bytes;
-      m_Parser->get().body().data = Bytes.data();
-      m_Parser->get().body().size = Bytes.size();
-      m_Parser->get().body().more = true;
-      error_code Code;
-      co_await http::async_read_some(socket(), m_Connection->m_Buffer, *m_Parser,
-                                     asio::redirect_error(asio::use_awaitable, Code));
-      if (Code && Code != http::error::need_buffer)
+      if (co_await readSome(Dropped))
         co_return false;
     }
     co_return true;
@@ -387,7 +387,6 @@
   }
 }
 
-std::uint64_t HttpClient::connectionsMade() const { return m_Impl->m_Connected; }
 std::uint64_t HttpClient::bytesSent() const { return m_Impl->m_Sent; }
 std::uint64_t HttpClient::bytesReceived() const { return m_Impl->m_Received; }
 
