Roll-outs: judged by route, against the usual latency, on few upstreams, by few daemons

Change: evidence a route as well as over all; the median of latencies relative to what the prompt explains, cold upstreams left out; completion at 93 in 100 of the time limit, only if a likelihood ratio over all daemons' answers speaks for the version on each route in use, counting only answers that came while the old version was as usual; the trial's requests go to a few upstreams, which they load as the whole would; the share follows from the operators' exposure bound (a setting now). At most eight daemons try a version; only they write evidence (a table of its own, one row a tester) and read it, only while they have some. Sessions keep the old version in the first half, and nearly all requests belong to sessions, so that most of the trial lies in the second half.

Ruled out: sending sessions to the new version earlier.

--- a/packages/config/include/bulrushpitch/config/gateway_settings.h
+++ b/packages/config/include/bulrushpitch/config/gateway_settings.h
@@ -20,6 +20,9 @@
   double m_RetryWindow = 10.0;  ///< Seconds.
   double m_ColdFactor = 1.0;    ///< Of a cold upstream's stated rate.
   double m_ColdSlack = 0.0;     ///< Requests beyond that, in any second.
+  /// Share of a service's requests that may reach a bad version between a roll-out's order and its time
+  /// limit.
+  double m_TrialExposure = 0.12;
   bool operator==(const GatewayBounds &) const = default;
 };
 
--- a/packages/config/src/gateway_settings.cpp
+++ b/packages/config/src/gateway_settings.cpp
@@ -14,6 +14,7 @@
     Visit(between(optionalField("retry_window_seconds"), 0.1, 3'600), Object.m_RetryWindow);
     Visit(between(optionalField("cold_factor"), 0, 1'000), Object.m_ColdFactor);
     Visit(between(optionalField("cold_slack"), 0, 1'000'000), Object.m_ColdSlack);
+    Visit(between(optionalField("trial_exposure"), 0, 1), Object.m_TrialExposure);
   }
 };
 
--- a/packages/forward/include/bulrushpitch/forward/objects.h
+++ b/packages/forward/include/bulrushpitch/forward/objects.h
@@ -113,13 +113,21 @@
   std::uint64_t m_RowVersion = 0; ///< Condition of the next write; 0: there is no row.
 };
 
-/// @brief What one daemon has seen against the new version of a roll-out.
+/// @brief What one daemon has seen of a new version on one route, or on all of them together.
+struct RouteEvidence {
+  std::string m_Route;         ///< Empty: all routes together.
+  double m_Evidence = 0.0;     ///< Log likelihood ratio of "bad" against "good".
+  std::uint64_t m_Answers = 0; ///< Answers of the new version that could be judged.
+  std::uint64_t m_Bad = 0;     ///< Of these, those that failed or came late.
+};
+
+/// @brief What one daemon has seen of the new version of a roll-out.
 struct TrialEvidence {
   ServiceId m_Service;
   VersionId m_To;
   std::uint64_t m_OrderVersion = 0; ///< Of the order that it belongs to.
   InstanceId m_Daemon;
-  double m_Evidence = 0.0; ///< Log likelihood ratio of "bad" against "good".
+  std::vector<RouteEvidence> m_Routes;
 };
 
 } // namespace bulrushpitch
--- a/packages/forward/include/bulrushpitch/forward/placement.h
+++ b/packages/forward/include/bulrushpitch/forward/placement.h
@@ -14,6 +14,9 @@
 struct VersionRule {
   std::optional<VersionId> m_Only; ///< Only this one.
   std::optional<VersionId> m_Not;  ///< Any but this one.
+  /// Part of the upstreams that take the requests. A version under trial gets few requests; on few upstreams
+  /// they load each one as the whole will, so that a version that is bad under load shows it.
+  double m_UpstreamShare = 1.0;
   /// @return whether the rule allows the version
   bool allows(const VersionId &Version) const {
     return (!m_Only || Version == *m_Only) && (!m_Not || Version != *m_Not);
--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -30,6 +30,8 @@
 constexpr double OtherDomainMs = 2.0;
 constexpr double OtherRegionMs = 60.0;
 constexpr double QueuedRequestMs = 60.0;
+/// A single upstream has nowhere to leave a burst to, and looks slow for it.
+constexpr std::size_t LeastSharing = 2;
 constexpr double HashRange = 18446744073709551616.0; // 2^64
 
 bool contains(const std::vector<RegionId> &Regions, const RegionId &Region) {
@@ -125,6 +127,19 @@
                            });
 }
 
+/// Keeps a part of the candidates, the same ones at every daemon of the region.
+void keepShare(std::vector<PooledUpstream *> &Candidates, double Share) {
+  const double Part = std::ceil(Share * static_cast<double>(Candidates.size()));
+  const std::size_t Kept = std::max(LeastSharing, static_cast<std::size_t>(Part));
+  if (Kept >= Candidates.size())
+    return;
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const PooledUpstream *Left, const PooledUpstream *Right) {
+              return stableHash(Left->m_Entry.m_Id.value()) < stableHash(Right->m_Entry.m_Id.value());
+            });
+  Candidates.resize(Kept);
+}
+
 /// Keeps the candidates that satisfy a condition, unless none does.
 template <typename Condition> void prefer(std::vector<PooledUpstream *> &Candidates, Condition Satisfies) {
   std::vector<PooledUpstream *> Kept;
@@ -179,6 +194,10 @@
          [&](const PooledUpstream &Candidate) { return !Pool.unreachable(Candidate.m_Entry.m_Domain, Now); });
   if (Query.m_Affinity)
     prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.cold(Candidate, Now); });
+  if (Query.m_Versions.m_UpstreamShare < 1.0) {
+    prefer(Candidates, [&](const PooledUpstream &Candidate) { return Candidate.m_Region == Here.m_Region; });
+    keepShare(Candidates, Query.m_Versions.m_UpstreamShare);
+  }
   PooledUpstream *Chosen =
       Query.m_Affinity ? byAffinity(Pool, Candidates, Query, Here, Now) : byWait(Candidates, Here);
   if (Query.m_ColdPerSecond > 0.0 && Pool.cold(*Chosen, Now))
--- a/packages/forward/tests/placement_test.cpp
+++ b/packages/forward/tests/placement_test.cpp
@@ -161,3 +161,19 @@
     Candidate->m_EjectedUntil = m_Now + milliseconds(500);
   CHECK(choose());
 }
+
+// Guards against a version under trial that is bad under load, and gets too few requests to show it.
+TEST_CASE_FIXTURE(World,
+                  "a version under trial runs on few upstreams, the same ones for all daemons of a region") {
+  m_Query.m_Versions.m_UpstreamShare = 0.25;
+  std::set<UpstreamId> Used;
+  for (int Daemon = 0; Daemon < 8; ++Daemon) {
+    m_Here.m_Instance = InstanceId("d" + std::to_string(Daemon));
+    m_Here.m_Domain = DomainId(Daemon % 2 == 0 ? "west-a" : "west-b");
+    for (std::uint64_t Key = 0; Key < 50; ++Key) {
+      m_Query.m_Affinity = mixHash(Key, 7);
+      Used.insert(choose()->m_Entry.m_Id);
+    }
+  }
+  CHECK(Used.size() == 2);
+}
--- a/packages/forward/tests/version_trial_test.cpp
+++ b/packages/forward/tests/version_trial_test.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <set>
+
 using namespace bulrushpitch;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -14,34 +16,57 @@
 struct Trial {
   Trial() { m_Trial.confirm(); }
 
-  void answer(bool OnNew, bool Failed, milliseconds Latency = milliseconds(100)) {
+  void answer(bool OnNew, bool Failed, milliseconds Latency = milliseconds(100),
+              const std::string &Route = "ask") {
     TrialSample Sample;
-    Sample.m_Route = "ask";
+    Sample.m_Route = Route;
     Sample.m_OnNew = OnNew;
     Sample.m_Failed = Failed;
     Sample.m_Latency = Latency;
     m_Trial.record(Sample);
   }
 
+  VersionRule rule(std::uint64_t RequestHash, bool InSession, TimePoint Now) {
+    return m_Trial.ruleFor(RequestHash, InSession, m_Role, Now);
+  }
+  void peer(int Number, double Evidence, std::uint64_t Answers, TimePoint Now,
+            const std::string &Route = "") {
+    m_Trial.onPeerEvidence(InstanceId("d" + std::to_string(Number)), {{Route, Evidence, Answers, 0}}, Now);
+  }
+
   TimePoint m_Start{seconds(100)};
-  VersionTrial m_Trial{TrialOrder{ServiceId("llm"), VersionId("v2"), seconds(24), 7}, m_Start};
+  TrialRole m_Role;
+  VersionTrial m_Trial{TrialOrder{ServiceId("llm"), VersionId("v2"), seconds(24), 7}, 0.15, m_Start};
 };
 
 } // namespace
 
-TEST_CASE_FIXTURE(Trial, "about a tenth of the requests run on the new version") {
-  int New = 0;
-  for (std::uint64_t Request = 0; Request < 10000; ++Request)
-    New += m_Trial.ruleFor(mixHash(Request, 5), false, m_Start).m_Only.has_value() ? 1 : 0;
-  CHECK(New > 800);
-  CHECK(New < 1200);
+// Guards against exposing more requests than allowed to a version that turns bad when it has the whole load.
+TEST_CASE_FIXTURE(Trial, "few requests from the order to the time limit run on a version that is completed") {
+  for (int Start = 0; Start < 22; ++Start) {
+    Trial Late;
+    Late.m_Trial.onUpstream(Late.m_Start + seconds(Start));
+    int New = 0;
+    int Requests = 0;
+    for (milliseconds At{0}; At < seconds(24); At += milliseconds(2)) {
+      ++Requests;
+      const bool Completed = At > milliseconds(22320);
+      const bool Came = At >= seconds(Start);
+      const bool OnNew =
+          Came && Late.rule(mixHash(static_cast<std::uint64_t>(At.count()), 5), false, Late.m_Start + At)
+                      .m_Only.has_value();
+      New += Completed || OnNew ? 1 : 0;
+    }
+    CHECK(New <= 0.15 * Requests);
+    CHECK(New >= 0.07 * Requests);
+  }
 }
 
 // Guards against a daemon that restarts and sends requests to a version that was rolled back meanwhile.
 TEST_CASE("no request runs on the new version before the daemons' decisions were read") {
-  VersionTrial Unconfirmed(TrialOrder{ServiceId("llm"), VersionId("v2"), seconds(24), 7}, TimePoint{});
+  VersionTrial Unconfirmed(TrialOrder{ServiceId("llm"), VersionId("v2"), seconds(24), 7}, 0.15, TimePoint{});
   for (std::uint64_t Request = 0; Request < 1000; ++Request)
-    CHECK_FALSE(Unconfirmed.ruleFor(mixHash(Request, 5), false, TimePoint{}).m_Only);
+    CHECK_FALSE(Unconfirmed.ruleFor(mixHash(Request, 5), false, TrialRole{}, TimePoint{}).m_Only);
   CHECK(Unconfirmed.verdict(TimePoint{} + seconds(24)) == TrialState::Running);
 }
 
@@ -55,7 +80,7 @@
   }
   CHECK(m_Trial.verdict(m_Start) == TrialState::RolledBack);
   CHECK(Failures <= 6);
-  CHECK(m_Trial.ruleFor(0, false, m_Start).m_Not == VersionId("v2"));
+  CHECK(rule(0, false, m_Start).m_Not == VersionId("v2"));
 }
 
 // Guards against a daemon that has just started and finds no version bad, as it has seen nothing of the old
@@ -95,24 +120,164 @@
 
 // Guards against completing a version whose upstreams came too late to have answered anything.
 TEST_CASE_FIXTURE(Trial, "a version is completed only after it has answered") {
+  for (int Answer = 0; Answer < 40; ++Answer)
+    answer(false, false);
   CHECK(m_Trial.verdict(m_Start + seconds(23)) == TrialState::Running);
+  for (int Answer = 0; Answer < 24; ++Answer)
+    answer(true, false);
+  CHECK(m_Trial.verdict(m_Start + seconds(23)) == TrialState::Completed);
+}
+
+// Guards against a version that turns bad once it has the whole load: it must not have had it for long.
+TEST_CASE_FIXTURE(Trial, "a version is completed near the end of the time limit") {
+  for (int Answer = 0; Answer < 100; ++Answer) {
+    answer(false, false);
+    answer(true, false);
+  }
+  CHECK(m_Trial.verdict(m_Start + milliseconds(22200)) == TrialState::Running);
+  CHECK(m_Trial.verdict(m_Start + milliseconds(22400)) == TrialState::Completed);
+}
+
+// Guards against completing a version that was hardly asked on one of the routes.
+TEST_CASE_FIXTURE(Trial, "a version must have answered on each route in use") {
+  for (int Answer = 0; Answer < 100; ++Answer) {
+    answer(false, false);
+    answer(false, false, milliseconds(100), "tag");
+    answer(true, false);
+  }
+  CHECK(m_Trial.verdict(m_Start + seconds(23)) == TrialState::Running);
+  for (int Answer = 0; Answer < 10; ++Answer)
+    answer(true, false, milliseconds(100), "tag");
+  CHECK(m_Trial.verdict(m_Start + seconds(23)) == TrialState::Completed);
+}
+
+// Guards against completing a version of which a third of the few answers on one route were bad.
+TEST_CASE_FIXTURE(Trial, "few answers with failures among them are not enough to complete") {
+  for (int Answer = 0; Answer < 100; ++Answer) {
+    answer(false, false);
+    answer(false, false, milliseconds(100), "tag");
+    answer(true, false);
+  }
   for (int Answer = 0; Answer < 12; ++Answer)
+    answer(true, Answer % 6 == 0, milliseconds(100), "tag");
+  CHECK(m_Trial.verdict(m_Start + seconds(23)) == TrialState::Running);
+}
+
+TEST_CASE_FIXTURE(Trial, "the answers that several daemons saw add up") {
+  for (int Answer = 0; Answer < 40; ++Answer)
+    answer(false, false);
+  for (int Answer = 0; Answer < 6; ++Answer)
     answer(true, false);
-  CHECK(m_Trial.verdict(m_Start + seconds(14)) == TrialState::Running);
-  CHECK(m_Trial.verdict(m_Start + seconds(15)) == TrialState::Completed);
+  CHECK(m_Trial.verdict(m_Start + seconds(23)) == TrialState::Running);
+  REQUIRE(m_Trial.takeNews(m_Start + seconds(20)));
+  CHECK_FALSE(m_Trial.takeNews(m_Start + seconds(20)));
+  const std::vector<RouteEvidence> Seen{{"", 0.0, 8, 0}, {"ask", 0.0, 8, 0}};
+  m_Trial.onPeerEvidence(InstanceId("d1"), Seen, m_Start + seconds(20));
+  m_Trial.onPeerEvidence(InstanceId("d2"), Seen, m_Start + seconds(20));
+  CHECK(m_Trial.verdict(m_Start + seconds(23)) == TrialState::Completed);
+}
+
+// Guards against a slow version that looks usual beside an old one whose upstreams hang and crash.
+TEST_CASE_FIXTURE(Trial, "answers that came while the old version was slow don't speak for the new one") {
+  for (int Answer = 0; Answer < 100; ++Answer)
+    answer(false, false);
+  for (int Answer = 0; Answer < 60; ++Answer)
+    answer(false, false, milliseconds(1200));
+  for (int Answer = 0; Answer < 60; ++Answer)
+    answer(true, false, milliseconds(800));
+  CHECK(m_Trial.verdict(m_Start + seconds(23)) == TrialState::Running);
+}
+
+// Guards against a slow version that is missed because a third of the old one's upstreams hang.
+TEST_CASE_FIXTURE(Trial, "a third of slow answers does not change what is usual") {
+  for (int Answer = 0; Answer < 120; ++Answer)
+    answer(false, Answer % 6 == 0, milliseconds(Answer % 3 == 0 ? 3000 : 100));
+  for (int Answer = 0; Answer < 30; ++Answer)
+    answer(true, false, milliseconds(Answer % 2 == 0 ? 800 : 100));
+  CHECK(m_Trial.verdict(m_Start) == TrialState::RolledBack);
+}
+
+// Guards against a version that is bad on one route, which the good answers on the others hide.
+TEST_CASE_FIXTURE(Trial, "a version that is bad on one route is rolled back") {
+  const std::vector<std::string> Routes{"ask", "tag", "digest", "read"};
+  for (int Answer = 0; Answer < 100; ++Answer)
+    answer(false, false, milliseconds(100), Routes[static_cast<std::size_t>(Answer) % 4]);
+  int Failures = 0;
+  for (int Answer = 0; m_Trial.verdict(m_Start) == TrialState::Running && Answer < 200; ++Answer) {
+    const bool Fails = Answer % 4 == 2 && Answer % 8 == 2;
+    answer(true, Fails, milliseconds(100), Routes[static_cast<std::size_t>(Answer) % 4]);
+    Failures += Fails ? 1 : 0;
+  }
+  CHECK(m_Trial.verdict(m_Start) == TrialState::RolledBack);
+  CHECK(Failures <= 8);
+}
+
+TEST_CASE_FIXTURE(Trial, "evidence of several daemons on one route adds up") {
+  for (int Peer = 0; Peer < 4; ++Peer)
+    peer(Peer, 2.6, 3, m_Start, "digest");
+  CHECK(m_Trial.verdict(m_Start) == TrialState::Running);
+  answer(true, true, milliseconds(100), "digest");
+  CHECK(m_Trial.verdict(m_Start) == TrialState::RolledBack);
+}
+
+// Guards against a fleet in which each daemon sees so little of a version that none can judge it.
+TEST_CASE("a few daemons try a version, with the same share of all requests") {
+  VersionTrial Tried = [] {
+    VersionTrial New(TrialOrder{ServiceId("llm"), VersionId("v2"), seconds(24), 7}, 0.15, TimePoint{});
+    New.confirm();
+    return New;
+  }();
+  const auto Overall = [&](std::size_t Daemons) {
+    PlacementContext Here;
+    for (std::size_t Number = 0; Number < Daemons; ++Number)
+      Here.m_Daemons.emplace_back("d" + std::to_string(Number));
+    int OnNew = 0;
+    std::set<std::uint32_t> Slots;
+    constexpr int Requests = 2000;
+    for (const InstanceId &Daemon : Here.m_Daemons) {
+      Here.m_Instance = Daemon;
+      const TrialRole Role = trialRole(ServiceId("llm"), Here);
+      if (Role.m_Tests)
+        Slots.insert(Role.m_Slot);
+      for (std::uint64_t Request = 0; Request < Requests; ++Request)
+        OnNew += Tried.ruleFor(mixHash(Request, 5), false, Role, TimePoint{}).m_Only ? 1 : 0;
+    }
+    CHECK(Slots.size() == std::min<std::size_t>(Daemons, 8));
+    return static_cast<double>(OnNew) / (Requests * static_cast<double>(Daemons));
+  };
+  const double Alone = Overall(1);
+  CHECK(Overall(8) == doctest::Approx(Alone));
+  CHECK(Overall(58) == doctest::Approx(Alone).epsilon(0.1));
+  CHECK(Overall(400) <= Alone);
+}
+
+// Guards against rolling back a good version because its upstreams have just started.
+TEST_CASE_FIXTURE(Trial, "a cold upstream's latency says nothing of its version") {
+  for (int Answer = 0; Answer < 40; ++Answer)
+    answer(false, false);
+  TrialSample Cold;
+  Cold.m_Route = "ask";
+  Cold.m_OnNew = true;
+  Cold.m_Latency = seconds(2);
+  Cold.m_Cold = true;
+  for (int Answer = 0; Answer < 20; ++Answer)
+    m_Trial.record(Cold);
+  CHECK(m_Trial.verdict(m_Start + seconds(10)) == TrialState::Running);
+  CHECK(m_Trial.evidence() == 0.0);
 }
 
 TEST_CASE_FIXTURE(Trial, "sessions keep the old version in the first half") {
+  m_Trial.onUpstream(m_Start);
   for (std::uint64_t Session = 0; Session < 1000; ++Session)
-    CHECK(m_Trial.ruleFor(mixHash(Session, 9), true, m_Start + seconds(11)).m_Not == VersionId("v2"));
-  CHECK(m_Trial.ruleFor(0, true, m_Start + seconds(13)).m_Only == VersionId("v2"));
+    CHECK(rule(mixHash(Session, 9), true, m_Start + seconds(11)).m_Not == VersionId("v2"));
+  CHECK(rule(0, true, m_Start + seconds(13)).m_Only == VersionId("v2"));
 }
 
 TEST_CASE_FIXTURE(Trial, "after the decision all daemons follow it") {
   m_Trial.setState(TrialState::Completed);
-  CHECK(m_Trial.ruleFor(~0ULL, false, m_Start).m_Only == VersionId("v2"));
+  CHECK(rule(~0ULL, false, m_Start).m_Only == VersionId("v2"));
   m_Trial.setState(TrialState::RolledBack);
-  CHECK(m_Trial.ruleFor(0, false, m_Start).m_Not == VersionId("v2"));
+  CHECK(rule(0, false, m_Start).m_Not == VersionId("v2"));
 }
 
 // Guards against a bad version that fails a few times at each daemon and keeps running for many seconds.
@@ -121,9 +286,9 @@
     answer(false, false);
   answer(true, true);
   CHECK(m_Trial.verdict(m_Start) == TrialState::Running);
-  const std::optional<double> News = m_Trial.takeNews();
+  const std::optional<std::vector<RouteEvidence>> News = m_Trial.takeNews(m_Start);
   REQUIRE(News);
-  CHECK_FALSE(m_Trial.takeNews());
+  CHECK_FALSE(m_Trial.takeNews(m_Start));
   for (int Peer = 0; Peer < 3; ++Peer)
     m_Trial.onPeerEvidence(InstanceId("d" + std::to_string(Peer)), *News, m_Start);
   CHECK(m_Trial.verdict(m_Start) == TrialState::RolledBack);
@@ -132,7 +297,7 @@
 
 TEST_CASE_FIXTURE(Trial, "another daemon's evidence fades") {
   for (int Peer = 0; Peer < 4; ++Peer)
-    m_Trial.onPeerEvidence(InstanceId("d" + std::to_string(Peer)), 2.6, m_Start);
+    peer(Peer, 2.6, 3, m_Start);
   CHECK(m_Trial.verdict(m_Start) == TrialState::RolledBack);
   CHECK(m_Trial.verdict(m_Start + seconds(10)) == TrialState::Running);
 }
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -39,6 +39,8 @@
                ? 0.0
                : Service.m_ColdPerSecond * m_Bounds.m_ColdFactor + m_Bounds.m_ColdSlack;
   }
+  /// @return share of a service's requests that may reach a bad version during its roll-out
+  double trialExposure() const { return m_Bounds.m_TrialExposure; }
   /// @brief Takes the list of daemons, and shares the retry budget anew.
   void setDaemons(std::vector<InstanceId> Daemons);
 
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -88,7 +88,13 @@
   bool m_Whole = false;
   std::uint64_t m_Position = 0;
   std::vector<TrialStatus> m_Updated;
-  std::vector<TrialEvidence> m_Evidence;
+};
+
+/// @brief Changes of what the daemons have seen of versions under trial.
+struct EvidenceChanges {
+  bool m_Whole = false;
+  std::uint64_t m_Position = 0;
+  std::vector<TrialEvidence> m_Updated;
 };
 
 /// @brief The store that all daemons share.
@@ -111,8 +117,13 @@
   /// @param Status m_RowVersion is the version that the row must have; 0 means that it must be absent
   /// @return error 604 if the row has another version; 602 and 603 if the write may still take effect
   virtual boost::asio::awaitable<Expected<Done>> writeTrial(TrialStatus Status) = 0;
-  /// @brief Tells the other daemons what this one has seen against a version.
-  virtual boost::asio::awaitable<Expected<Done>> writeEvidence(TrialEvidence Evidence) = 0;
+  virtual boost::asio::awaitable<Expected<EvidenceChanges>> readEvidence() = 0;
+  virtual boost::asio::awaitable<Expected<EvidenceChanges>> watchEvidence(std::uint64_t Position,
+                                                                          Duration Wait) = 0;
+  /// @brief Tells the other daemons what this one has seen of a version.
+  /// @param Slot this daemon's place among those that try the version; it keeps the number of rows bounded
+  virtual boost::asio::awaitable<Expected<Done>> writeEvidence(TrialEvidence Evidence,
+                                                               std::uint32_t Slot) = 0;
   /// @brief Enters this daemon among the daemons.
   virtual boost::asio::awaitable<Expected<Done>> enterDaemon(InstanceId Id) = 0;
   virtual boost::asio::awaitable<Expected<Done>> removeDaemon(InstanceId Id) = 0;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -28,7 +28,7 @@
 constexpr Duration DutyRetry = milliseconds(700);
 constexpr Duration EvidenceInterval = milliseconds(800);
 /// Evidence of several daemons comes in one call.
-constexpr Duration BetweenTrialWatches = milliseconds(250);
+constexpr Duration BetweenEvidenceWatches = milliseconds(300);
 
 std::string_view nameOf(TrialState State) {
   switch (State) {
@@ -57,6 +57,7 @@
     spawn(m_Context, followOrders(shared_from_this()));
     spawn(m_Context, followUpstreams(shared_from_this()));
     spawn(m_Context, followTrials(shared_from_this()));
+    spawn(m_Context, followEvidence(shared_from_this()));
     spawn(m_Context, followDaemons(shared_from_this()));
     m_Duty.start();
   }
@@ -94,6 +95,9 @@
   asio::awaitable<Expected<TrialChanges>> nextTrials(const Feed &Table) {
     return Table.m_Position ? m_Store.watchTrials(*Table.m_Position, WatchTime) : m_Store.readTrials();
   }
+  asio::awaitable<Expected<EvidenceChanges>> nextEvidence(const Feed &Table) {
+    return Table.m_Position ? m_Store.watchEvidence(*Table.m_Position, WatchTime) : m_Store.readEvidence();
+  }
 
   static asio::awaitable<void> followOrders(std::shared_ptr<Impl> Self) {
     Feed Orders{"orders", std::nullopt, Duration::zero(), false, BetweenWatches};
@@ -119,7 +123,7 @@
 
   /// Roll-outs are watched only while one runs; their end is what the daemons have to learn from one another.
   static asio::awaitable<void> followTrials(std::shared_ptr<Impl> Self) {
-    Feed Trials{"trials", std::nullopt, Duration::zero(), false, BetweenTrialWatches};
+    Feed Trials{"trials", std::nullopt, Duration::zero(), false, BetweenWatches};
     while (!Self->m_Stopped) {
       if (Self->m_ReadTrialsAgain) {
         Trials.m_Position.reset();
@@ -136,6 +140,21 @@
     }
   }
 
+  /// Followed only by daemons that try a version, and only while it matters: most versions are good.
+  static asio::awaitable<void> followEvidence(std::shared_ptr<Impl> Self) {
+    Feed Evidence{"evidence", std::nullopt, Duration::zero(), false, BetweenEvidenceWatches};
+    while (!Self->m_Stopped) {
+      if (!Self->needsEvidence()) {
+        co_await sleepFor(Self->m_Context, DutyInterval);
+        continue;
+      }
+      Expected<EvidenceChanges> Changes = co_await Self->nextEvidence(Evidence);
+      if (Changes)
+        Self->apply(*Changes);
+      co_await Self->pause(Evidence, outcomeOf(Changes));
+    }
+  }
+
   static asio::awaitable<void> followDaemons(std::shared_ptr<Impl> Self) {
     const InstanceId Own = Self->m_State.m_Here.m_Instance;
     bool Entered = false;
@@ -212,7 +231,7 @@
     if (Known && Known->order().m_OrderVersion == Order.m_OrderVersion)
       return;
     m_State.m_Trials.erase(Order.m_Service);
-    m_State.m_Trials.emplace(Order.m_Service, VersionTrial(Order, m_Clock()));
+    m_State.m_Trials.emplace(Order.m_Service, VersionTrial(Order, m_State.trialExposure(), m_Clock()));
     m_Announced.erase(Order.m_Service);
     m_ReadTrialsAgain = true;
     m_Log.add(LogClass::State, "rollout_ordered",
@@ -221,6 +240,12 @@
                {"time_limit_s", std::chrono::duration<double>(Order.m_TimeLimit).count()}});
   }
 
+  void noteTrialUpstream(const RegisteredUpstream &Entry, TimePoint Now) {
+    VersionTrial *Trial = m_State.trialOf(Entry.m_Service);
+    if (Trial && Entry.m_Version == Trial->order().m_To)
+      Trial->onUpstream(Now);
+  }
+
   void apply(const UpstreamChanges &Changes) {
     const TimePoint Now = m_Clock();
     const Duration Grace = m_RegistryBackAt && Now - *m_RegistryBackAt < EntryReturn
@@ -228,11 +253,14 @@
                                : Duration::zero();
     if (Changes.m_Whole) {
       m_State.m_Pool.replaceAll(Changes.m_Updated, Now, Grace);
+      for (const RegisteredUpstream &Entry : Changes.m_Updated)
+        noteTrialUpstream(Entry, Now);
       m_State.m_RegistryRead = true;
       return;
     }
     for (const RegisteredUpstream &Entry : Changes.m_Updated) {
       m_State.m_Pool.update(Entry, Now);
+      noteTrialUpstream(Entry, Now);
       m_Log.add(LogClass::State, "upstream_changed",
                 {{"upstream", std::string_view(Entry.m_Id.value())},
                  {"service", std::string_view(Entry.m_Service.value())},
@@ -265,18 +293,28 @@
                  {"to", std::string_view(Status.m_To.value())},
                  {"state", nameOf(Status.m_State)}});
     }
-    for (const TrialEvidence &Told : Changes.m_Evidence) {
-      VersionTrial *Trial = m_State.trialOf(Told.m_Service);
-      if (Trial && Told.m_OrderVersion == Trial->order().m_OrderVersion &&
-          Told.m_Daemon != m_State.m_Here.m_Instance)
-        Trial->onPeerEvidence(Told.m_Daemon, Told.m_Evidence, m_Clock());
-    }
     if (!Changes.m_Whole || m_ReadTrialsAgain)
       return;
     for (auto &Entry : m_State.m_Trials)
       Entry.second.confirm();
   }
 
+  void apply(const EvidenceChanges &Changes) {
+    for (const TrialEvidence &Told : Changes.m_Updated) {
+      VersionTrial *Trial = m_State.trialOf(Told.m_Service);
+      if (Trial && Told.m_OrderVersion == Trial->order().m_OrderVersion &&
+          Told.m_Daemon != m_State.m_Here.m_Instance)
+        Trial->onPeerEvidence(Told.m_Daemon, Told.m_Routes, m_Clock());
+    }
+  }
+
+  bool needsEvidence() const {
+    const TimePoint Now = m_Clock();
+    return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(), [&](const auto &Entry) {
+      return Entry.second.needsPeers(Now) && trialRole(Entry.first, m_State.m_Here).m_Tests;
+    });
+  }
+
   bool anyTrialRuns() const {
     return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(),
                        [](const auto &Entry) { return Entry.second.state() == TrialState::Running; });
@@ -316,22 +354,28 @@
     const TimePoint Now = m_Clock();
     if (Trial.state() != TrialState::Running || Now < m_NextEvidence)
       return;
-    const std::optional<double> News = Trial.takeNews();
+    const TrialRole Role = trialRole(Service, m_State.m_Here);
+    std::optional<std::vector<RouteEvidence>> News = Role.m_Tests ? Trial.takeNews(Now) : std::nullopt;
     if (!News)
       return;
     m_NextEvidence = Now + EvidenceInterval;
     TrialEvidence Told{Service, Trial.order().m_To, Trial.order().m_OrderVersion, m_State.m_Here.m_Instance,
-                       *News};
-    spawn(m_Context, writeEvidence(shared_from_this(), std::move(Told)));
+                       std::move(*News)};
+    spawn(m_Context, writeEvidence(shared_from_this(), std::move(Told), Role.m_Slot));
   }
 
-  static asio::awaitable<void> writeEvidence(std::shared_ptr<Impl> Self, TrialEvidence Told) {
-    const Expected<Done> Written = co_await Self->m_Store.writeEvidence(Told);
+  static asio::awaitable<void> writeEvidence(std::shared_ptr<Impl> Self, TrialEvidence Told,
+                                             std::uint32_t Slot) {
+    const Expected<Done> Written = co_await Self->m_Store.writeEvidence(Told, Slot);
     const std::string Outcome = Written ? "written" : Written.error().toString();
-    Self->m_Log.add(LogClass::State, "rollout_evidence",
-                    {{"service", std::string_view(Told.m_Service.value())},
-                     {"evidence", Told.m_Evidence},
-                     {"outcome", std::string_view(Outcome)}});
+    for (const RouteEvidence &Route : Told.m_Routes)
+      Self->m_Log.add(LogClass::State, "rollout_evidence",
+                      {{"service", std::string_view(Told.m_Service.value())},
+                       {"route", std::string_view(Route.m_Route)},
+                       {"evidence", Route.m_Evidence},
+                       {"answers", static_cast<std::int64_t>(Route.m_Answers)},
+                       {"bad", static_cast<std::int64_t>(Route.m_Bad)},
+                       {"outcome", std::string_view(Outcome)}});
   }
 
   static asio::awaitable<void> writeTrial(std::shared_ptr<Impl> Self, TrialStatus Status, double Evidence) {
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -183,14 +183,15 @@
   Query.m_SharedWork =
       State.m_ReadingTime.expected(askedModel().value_or(ModelId()), m_Caller.m_SharedTokens);
   Query.m_Tried = m_Tried;
-  const VersionTrial *Trial = State.trialOf(m_Service);
+  VersionTrial *Trial = State.trialOf(m_Service);
   const bool OnTrial = Trial && Trial->state() == TrialState::Running;
   if (Trial) {
     const std::uint64_t Key = m_Caller.m_Session ? stableHash(*m_Caller.m_Session) : mixHash(m_Hash, 2);
-    Query.m_Versions = Trial->ruleFor(Key, m_Caller.m_Session.has_value(), Now);
+    const TrialRole Role = trialRole(m_Service, State.m_Here);
+    Query.m_Versions = Trial->ruleFor(Key, m_Caller.m_Session.has_value(), Role, Now);
     // A request that has failed already goes on with the version that is known.
     if (m_HadFailure && OnTrial)
-      Query.m_Versions = VersionRule{std::nullopt, Trial->order().m_To};
+      Query.m_Versions = VersionRule{std::nullopt, Trial->order().m_To, 1.0};
   }
   if (const ForwardService *Service = m_Directory->service(m_Service))
     Query.m_ColdPerSecond = State.coldLimit(*Service);
@@ -198,7 +199,8 @@
   if (Found.m_Upstream || !OnTrial)
     return Found;
   // The new version's upstreams may not have come yet, or the old one's be gone already.
-  Query.m_Versions = Query.m_Versions.m_Only ? VersionRule{std::nullopt, Trial->order().m_To} : VersionRule{};
+  Query.m_Versions =
+      Query.m_Versions.m_Only ? VersionRule{std::nullopt, Trial->order().m_To, 1.0} : VersionRule{};
   return place(State.m_Pool, Query, State.m_Here, Now);
 }
 
@@ -276,6 +278,8 @@
   m_HeadTook = Duration::zero();
   const ModelId Asked = askedModel().value_or(ModelId());
   m_Work = m_Parts.m_State.m_ReadingTime.expected(Asked, m_Caller.m_PromptTokens);
+  m_AskedName = Asked;
+  m_ExpectedWork = m_Work;
   m_Parts.m_State.m_Pool.onSent(Id, m_Work);
   Expected<Head> Opened = co_await m_Parts.m_Upstreams.open(Address, std::move(Sent), std::move(Options));
   if (!Opened)
@@ -332,10 +336,14 @@
   if (!Trial || !Counts)
     return;
   TrialSample Sample;
-  Sample.m_Route = m_Route->m_Name + (m_Escalated ? "/escalated" : "");
+  Sample.m_Route = m_Route->m_Name;
+  Sample.m_Model = m_AskedName;
   Sample.m_OnNew = Version == Trial->order().m_To;
   Sample.m_Failed = !Good;
   Sample.m_Latency = m_HeadTook;
+  Sample.m_Expected = m_ExpectedWork;
+  const PooledUpstream *Known = m_Parts.m_State.m_Pool.find(Target);
+  Sample.m_Cold = Known && m_Parts.m_State.m_Pool.cold(*Known, m_Parts.m_Clock());
   Trial->record(Sample);
 }
 
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -91,6 +91,8 @@
   std::size_t m_Model = 0; ///< Index into the route's models.
   bool m_Escalated = false;
   std::size_t m_AskedModel = 0; ///< Of the attempt under way, for the log.
+  ModelId m_AskedName;          ///< Of the attempt under way; empty if the caller names the model.
+  Duration m_ExpectedWork{};    ///< Of the attempt under way: what reading its prompt should take.
   int m_Confidence = 0;         ///< Of the last answer, for the log.
   bool m_HadFailure = false;    ///< An attempt failed, so that no version under trial is asked any more.
   AttemptOutcome m_Last = AttemptOutcome::NotSent;
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -59,7 +59,18 @@
       co_return Error{ErrorCode::ConditionFailed, "write", "fake", Ran::No, "another version"};
     co_return Done{};
   }
-  asio::awaitable<Expected<Done>> writeEvidence(TrialEvidence Evidence) override {
+  asio::awaitable<Expected<EvidenceChanges>> readEvidence() override {
+    ++m_EvidenceReads;
+    EvidenceChanges All;
+    All.m_Whole = true;
+    All.m_Position = m_Version;
+    All.m_Updated = m_PeerEvidence;
+    co_return All;
+  }
+  asio::awaitable<Expected<EvidenceChanges>> watchEvidence(std::uint64_t Position, Duration Wait) override {
+    return watch(Position, Wait, m_NewEvidence);
+  }
+  asio::awaitable<Expected<Done>> writeEvidence(TrialEvidence Evidence, std::uint32_t) override {
     m_Evidence.push_back(Evidence);
     co_return Done{};
   }
@@ -81,7 +92,10 @@
   std::deque<UpstreamChanges> m_NewUpstreams;
   std::deque<TrialChanges> m_NewTrials;
   std::vector<TrialStatus> m_Written;
-  std::vector<TrialEvidence> m_Evidence;
+  std::vector<TrialEvidence> m_Evidence; ///< As written by this daemon.
+  std::vector<TrialEvidence> m_PeerEvidence;
+  std::deque<EvidenceChanges> m_NewEvidence;
+  int m_EvidenceReads = 0;
 
 private:
   static Error away() {
@@ -267,6 +281,19 @@
   CHECK(m_State->trialOf(ServiceId("s"))->state() == TrialState::RolledBack);
 }
 
+// Guards against calls to the store for each roll-out, of which most are good.
+TEST_CASE_FIXTURE(Fixture, "what the others have seen is read only by a daemon with evidence of its own") {
+  m_Store.m_PeerEvidence = {
+      TrialEvidence{ServiceId("s"), VersionId("v2"), 20, InstanceId("d1"), {{"", 8.0, 9, 5}}}};
+  start();
+  orderTrial();
+  CHECK(m_Store.m_EvidenceReads == 0);
+  failOnNew(1);
+  runFor(milliseconds(900));
+  CHECK(m_Store.m_EvidenceReads == 1);
+  CHECK(m_Store.m_Written.back().m_State == TrialState::RolledBack);
+}
+
 // Guards against two daemons that decide differently: the one whose condition fails follows the other.
 TEST_CASE_FIXTURE(Fixture, "a decision that loses the race is not taken as made") {
   start();
--- a/packages/gateway/tests/forwarder_test.cpp
+++ b/packages/gateway/tests/forwarder_test.cpp
@@ -393,13 +393,14 @@
 // Guards against a stream that breaks and is finished off by a version under trial.
 TEST_CASE_FIXTURE(Fixture, "a request that failed goes on with the old version") {
   configure(RequestKind::Stream, 3);
-  VersionTrial Trial(TrialOrder{ServiceId("s"), VersionId("v2"), std::chrono::seconds(100), 1},
+  VersionTrial Trial(TrialOrder{ServiceId("s"), VersionId("v2"), std::chrono::seconds(100), 1}, 0.15,
                      systemClock()());
   Trial.confirm();
   HttpRequest Sent = request();
   const auto OnNew = [&] {
     const std::uint64_t Key = mixHash(stableHash("attempt-" + std::to_string(m_Requests)), 2);
-    return Trial.ruleFor(Key, false, systemClock()()).m_Only.has_value();
+    const TrialRole Role = trialRole(ServiceId("s"), m_State->m_Here);
+    return Trial.ruleFor(Key, false, Role, systemClock()()).m_Only.has_value();
   };
   while (!OnNew())
     Sent = request();
