--- a/packages/forward/include/bulrushpitch/forward/retry_window.h
+++ b/packages/forward/include/bulrushpitch/forward/retry_window.h
@@ -23,10 +23,14 @@
   void setBounds(double Share, double Reserve);
   /// @brief Counts a request that is not a retry.
   void onRequest(TimePoint Now);
+  /// @return whether takeRetry() would succeed
+  /// @complexity constant
+  bool allows(TimePoint Now, double KeptBack = 0.0) const;
   /// @brief Takes a retry.
+  /// @param KeptBack part of the window's retries that is left for more important ones
   /// @return false if the window's retries are used up
   /// @complexity constant
-  bool takeRetry(TimePoint Now);
+  bool takeRetry(TimePoint Now, double KeptBack = 0.0);
 
 private:
   /// Steps of the window. The oldest one counts for retries, not for requests: at any moment of it the bound
@@ -37,6 +41,7 @@
     std::uint32_t m_Requests = 0;
     std::uint32_t m_Retries = 0;
   };
+  std::int64_t numberAt(TimePoint Now) const { return Now.time_since_epoch() / m_StepLength; }
   Step &stepAt(TimePoint Now);
 
   Duration m_StepLength;
--- a/packages/forward/include/bulrushpitch/forward/version_trial.h
+++ b/packages/forward/include/bulrushpitch/forward/version_trial.h
@@ -25,16 +25,15 @@
   bool m_Cold = false;   ///< Its upstream had just started, so that its latency says nothing.
 };
 
-/// @brief Whether this daemon tries a new version.
+/// @brief What a daemon does in the roll-out of a service.
 struct TrialRole {
-  bool m_Tests = true;      ///< Whether this daemon sends requests to the new version.
-  double m_Part = 1.0;      ///< Testers among all daemons.
-  std::uint32_t m_Slot = 0; ///< This tester's place among the testers.
+  bool m_Judges = true;     ///< Whether it collects what the others have seen, and decides.
+  std::uint32_t m_Slot = 0; ///< Its place in the service's own order of the daemons.
 };
 
-/// @brief Chooses the daemons that try a new version. A few daemons see enough of it to judge it soon,
-/// however many daemons there are, and only they have to exchange what they saw.
-/// @param Service whose roll-out it is; another service has other testers
+/// @brief Chooses the daemons that judge a new version. All daemons try it, as a session that has run on it
+/// must find it at each of them; a few of them collect what was seen, whatever the size of the fleet.
+/// @param Service whose roll-out it is; another service has other judges
 TrialRole trialRole(const ServiceId &Service, const PlacementContext &Here);
 
 /// @brief One roll-out of a service, as this daemon sees it.
@@ -70,7 +69,7 @@
   /// @param RequestHash spreads requests evenly over 0..2^64-1
   /// @param InSession whether the request belongs to a session, which keeps its version in the first half.
   /// The version then gets a larger share in the second half.
-  VersionRule ruleFor(std::uint64_t RequestHash, bool InSession, const TrialRole &Role, TimePoint Now);
+  VersionRule ruleFor(std::uint64_t RequestHash, bool InSession, TimePoint Now);
 
   /// @return what this daemon would decide now: rolled back on evidence, completed near the end of the time
   /// limit when the new version has answered often enough on each route without evidence, else running
@@ -82,8 +81,8 @@
   /// @brief Takes what another daemon has seen. Evidence fades, as that daemon tells mostly of what speaks
   /// against the version.
   void onPeerEvidence(const InstanceId &Daemon, const std::vector<RouteEvidence> &Seen, TimePoint Now);
-  /// @return whether it matters now what the other daemons have seen
-  bool needsPeers(TimePoint Now) const;
+  /// @return whether the new version has answered here, so that others have seen it as well
+  bool tried() const;
   /// @brief Hands over what this daemon has seen if the evidence has risen since it was handed over last, and
   /// any news when the version is about to be completed.
   std::optional<std::vector<RouteEvidence>> takeNews(TimePoint Now);
--- a/packages/forward/tests/retry_window_test.cpp
+++ b/packages/forward/tests/retry_window_test.cpp
@@ -44,3 +44,29 @@
   }
   CHECK(Granted >= 80);
 }
+
+TEST_CASE("a retry is allowed as long as it can be taken") {
+  RetryWindow Window(std::chrono::seconds(10), 0.0, 3.0);
+  const TimePoint Now{std::chrono::seconds(100)};
+  for (int Retry = 0; Retry < 3; ++Retry) {
+    CHECK(Window.allows(Now));
+    CHECK(Window.takeRetry(Now));
+  }
+  CHECK_FALSE(Window.allows(Now));
+  CHECK_FALSE(Window.takeRetry(Now));
+  CHECK(Window.allows(Now + std::chrono::seconds(12)));
+}
+
+// Guards against optional repeats that leave nothing for requests whose upstream fails.
+TEST_CASE("a part of the retries can be kept back") {
+  RetryWindow Window(std::chrono::seconds(10), 0.0, 10.0);
+  const TimePoint Now{std::chrono::seconds(100)};
+  int Optional = 0;
+  while (Window.takeRetry(Now, 0.2))
+    ++Optional;
+  CHECK(Optional == 8);
+  CHECK(Window.allows(Now));
+  CHECK(Window.takeRetry(Now));
+  CHECK(Window.takeRetry(Now));
+  CHECK_FALSE(Window.allows(Now));
+}
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -121,7 +121,8 @@
   virtual boost::asio::awaitable<Expected<EvidenceChanges>> watchEvidence(std::uint64_t Position,
                                                                           Duration Wait) = 0;
   /// @brief Tells the other daemons what this one has seen of a version.
-  /// @param Slot this daemon's place among those that try the version; it keeps the number of rows bounded
+  /// @param Slot this daemon's place in the service's order of the daemons; it keeps the number of rows
+  /// bounded
   virtual boost::asio::awaitable<Expected<Done>> writeEvidence(TrialEvidence Evidence,
                                                                std::uint32_t Slot) = 0;
   /// @brief Enters this daemon among the daemons.
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -140,7 +140,7 @@
     }
   }
 
-  /// Followed only by daemons that try a version, and only while it matters: most versions are good.
+  /// Followed only by daemons that judge a version, and only once it has answered.
   static asio::awaitable<void> followEvidence(std::shared_ptr<Impl> Self) {
     Feed Evidence{"evidence", std::nullopt, Duration::zero(), false, BetweenEvidenceWatches};
     while (!Self->m_Stopped) {
@@ -309,9 +309,9 @@
   }
 
   bool needsEvidence() const {
-    const TimePoint Now = m_Clock();
-    return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(), [&](const auto &Entry) {
-      return Entry.second.needsPeers(Now) && trialRole(Entry.first, m_State.m_Here).m_Tests;
+    return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(), [this](const auto &Entry) {
+      return Entry.second.state() == TrialState::Running && Entry.second.tried() &&
+             trialRole(Entry.first, m_State.m_Here).m_Judges;
     });
   }
 
@@ -354,14 +354,14 @@
     const TimePoint Now = m_Clock();
     if (Trial.state() != TrialState::Running || Now < m_NextEvidence)
       return;
-    const TrialRole Role = trialRole(Service, m_State.m_Here);
-    std::optional<std::vector<RouteEvidence>> News = Role.m_Tests ? Trial.takeNews(Now) : std::nullopt;
+    std::optional<std::vector<RouteEvidence>> News = Trial.takeNews(Now);
     if (!News)
       return;
     m_NextEvidence = Now + EvidenceInterval;
     TrialEvidence Told{Service, Trial.order().m_To, Trial.order().m_OrderVersion, m_State.m_Here.m_Instance,
                        std::move(*News)};
-    spawn(m_Context, writeEvidence(shared_from_this(), std::move(Told), Role.m_Slot));
+    spawn(m_Context,
+          writeEvidence(shared_from_this(), std::move(Told), trialRole(Service, m_State.m_Here).m_Slot));
   }
 
   static asio::awaitable<void> writeEvidence(std::shared_ptr<Impl> Self, TrialEvidence Told,
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -187,8 +187,7 @@
   const bool OnTrial = Trial && Trial->state() == TrialState::Running;
   if (Trial) {
     const std::uint64_t Key = m_Caller.m_Session ? stableHash(*m_Caller.m_Session) : mixHash(m_Hash, 2);
-    const TrialRole Role = trialRole(m_Service, State.m_Here);
-    Query.m_Versions = Trial->ruleFor(Key, m_Caller.m_Session.has_value(), Role, Now);
+    Query.m_Versions = Trial->ruleFor(Key, m_Caller.m_Session.has_value(), Now);
     // A request that has failed already goes on with the version that is known.
     if (m_HadFailure && OnTrial)
       Query.m_Versions = VersionRule{std::nullopt, Trial->order().m_To, 1.0};
@@ -222,6 +221,11 @@
       m_SentTo.begin(), m_SentTo.end(), [&](const UpstreamId &Id) { return !Pool.ended(Id, Now); }));
 }
 
+bool ForwardedRequest::mayRetryNow() const {
+  return mayRetry(retryState(), AttemptOutcome::TimedOut) &&
+         m_Parts.m_State.budgetOf(m_Service).allows(m_Parts.m_Clock());
+}
+
 Duration ForwardedRequest::moreTimeForHead(const UpstreamId &Target) const {
   const TimePoint Now = m_Parts.m_Clock();
   const Duration Most =
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -43,7 +43,7 @@
   boost::asio::awaitable<AttemptOutcome> relayWhole(HttpStream &Answer);
   boost::asio::awaitable<AttemptOutcome> relayRest(HttpStream &Answer, std::string Begun);
   /// @return whether a stream that was silent for its timeout is waited for: its upstream is at work for
-  /// others
+  /// others, or the request may not be sent again.
   bool waitsOn(const Error &Failure, const UpstreamId &Target, TimePoint HeardAt) const;
   boost::asio::awaitable<AttemptOutcome> relayEvents(HttpStream &Answer);
   boost::asio::awaitable<std::optional<AttemptOutcome>> forwardEvents(HttpStream &Answer,
@@ -64,6 +64,8 @@
   std::uint32_t countedAttempts() const;
   Duration moreTimeForHead(const UpstreamId &Target) const;
   RetryState retryState() const;
+  /// @return whether the request could be sent again if its upstream were given up now
+  bool mayRetryNow() const;
   Duration left() const { return m_Deadline - m_Parts.m_Clock(); }
   bool streams() const { return m_Route->m_Kind == RequestKind::Stream; }
   AttemptOutcome outcomeOf(const Error &Failure) const;
--- a/packages/gateway/src/relayed_answer.cpp
+++ b/packages/gateway/src/relayed_answer.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t MostBufferedBytes = 256UL * 1024UL;
 constexpr std::size_t MostEventBytes = 1024UL * 1024UL;
 constexpr unsigned FirstServerFailure = 500;
+/// Part of the retries that a larger model's answers leave for requests whose upstream fails.
+constexpr double KeptForFailures = 0.12;
 
 } // namespace
 
@@ -53,7 +55,7 @@
   m_Confidence = Read.m_Confidence.value_or(0);
   const EscalationDecision Larger = escalate(Given);
   if (Larger.m_Model && countedAttempts() < m_Route->m_MaxAttempts && left() > Duration::zero() &&
-      m_Parts.m_State.budgetOf(m_Service).takeRetry(m_Parts.m_Clock())) {
+      m_Parts.m_State.budgetOf(m_Service).takeRetry(m_Parts.m_Clock(), KeptForFailures)) {
     m_Model = *Larger.m_Model;
     m_Escalated = true;
     m_Tried.clear();
@@ -159,8 +161,10 @@
 
 bool ForwardedRequest::waitsOn(const Error &Failure, const UpstreamId &Target, TimePoint HeardAt) const {
   const TimePoint Now = m_Parts.m_Clock();
-  return Failure.m_Code == ErrorCode::UpstreamTimeout && left() > Duration::zero() &&
-         Now - HeardAt < MostSilenceWhileAlive && m_Parts.m_State.m_Pool.alive(Target, Now);
+  if (Failure.m_Code != ErrorCode::UpstreamTimeout || left() <= Duration::zero())
+    return false;
+  return !mayRetryNow() ||
+         (Now - HeardAt < MostSilenceWhileAlive && m_Parts.m_State.m_Pool.alive(Target, Now));
 }
 
 asio::awaitable<AttemptOutcome> ForwardedRequest::relayEvents(HttpStream &Answer) {
--- a/packages/gateway/tests/scripted_upstream.h
+++ b/packages/gateway/tests/scripted_upstream.h
@@ -23,6 +23,7 @@
   std::chrono::milliseconds m_Delay{0};   ///< Before them.
   bool m_Close = false;                   ///< Closes the connection after them.
   std::chrono::milliseconds m_Silence{0}; ///< After them, before the next request is read or the close.
+  std::string m_Rest = {};                ///< Sent after the silence.
 };
 
 /// @brief An upstream on loopback that answers each request with the bytes that a test asks for.
@@ -89,6 +90,9 @@
       co_await boost::asio::async_write(Served, boost::asio::buffer(Reply.m_Bytes),
                                         boost::asio::redirect_error(boost::asio::use_awaitable, Code));
       co_await sleepFor(Context, Reply.m_Silence);
+      if (!Reply.m_Rest.empty())
+        co_await boost::asio::async_write(Served, boost::asio::buffer(Reply.m_Rest),
+                                          boost::asio::redirect_error(boost::asio::use_awaitable, Code));
       if (Reply.m_Close || Code)
         co_return;
     }
