A silent stream goes on elsewhere only when its pause nearly makes it late

The new reading delays more streams. The limit is 0.95 of the stated pause now. Test: 'a pause that the route allows is no reason to go on at another upstream'.

--- a/packages/gateway/src/relayed_answer.cpp
+++ b/packages/gateway/src/relayed_answer.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-/// A stream that has been silent for so long goes on at another upstream: longer than an upstream's own
-/// pauses under load, shorter than the pause that makes an answer late.
-constexpr Duration MostSilence = milliseconds(900);
+/// A stream that has been silent for nearly the pause that makes it late goes on at another upstream. Sooner,
+/// it would often only have waited for others, and reading its prompt again delays more streams.
+constexpr double SilenceShareOfGap = 0.95;
+constexpr Duration MostSilence = milliseconds(1150);
 constexpr Duration LeastSilence = milliseconds(300);
 /// A stream's upstream that is at work for others may be silent for so long.
 constexpr Duration MostSilenceWhileAlive = milliseconds(2500);
@@ -127,7 +128,8 @@
     return Left;
   Duration Silence = MostSilence;
   if (m_Route->m_TargetGap > milliseconds::zero())
-    Silence = std::clamp<Duration>(m_Route->m_TargetGap * 3 / 4, LeastSilence, MostSilence);
+    Silence = std::clamp(std::chrono::duration_cast<Duration>(m_Route->m_TargetGap * SilenceShareOfGap),
+                         LeastSilence, MostSilence);
   return std::min(Left, Silence);
 }
 
--- a/packages/gateway/tests/forwarder_test.cpp
+++ b/packages/gateway/tests/forwarder_test.cpp
@@ -155,6 +155,7 @@
     Route.m_MaxAttempts = Attempts;
     Route.m_Timeout = milliseconds(2000);
     Route.m_TargetLatency = milliseconds(600);
+    Route.m_TargetGap = m_TargetGap;
     Route.m_Services = {{ServiceId("s"), 1.0}};
     Route.m_Models = std::move(Models);
     Config.m_Routes = {Route};
@@ -216,6 +217,7 @@
   std::optional<HttpServer> m_Server;
   std::vector<std::unique_ptr<ScriptedUpstream>> m_Upstreams;
   int m_Requests = 0;
+  milliseconds m_TargetGap{0};
 };
 
 ScriptedUpstream::Script always(ScriptedReply Reply) {
@@ -420,6 +422,18 @@
   CHECK(New->requests().empty());
 }
 
+// Guards against reading a prompt again elsewhere because of a pause that is still in time.
+TEST_CASE_FIXTURE(Fixture, "a pause that the route allows is no reason to go on at another upstream") {
+  m_TargetGap = milliseconds(1000);
+  configure(RequestKind::Stream, 3);
+  const std::string Rest = events(2, 2) + StreamEnd;
+  add(always({streamHead() + events(1, 1), milliseconds(0), false, milliseconds(850), Rest}));
+  ScriptedUpstream &Other = add(always({streamHead() + events(2, 2) + StreamEnd}));
+  const Answer Got = ask(request());
+  CHECK(Got.m_Complete);
+  CHECK(Other.requests().empty());
+}
+
 // Guards against refusing requests in the moment in which a new version is completed and the old one stopped.
 TEST_CASE_FIXTURE(Fixture, "when the old version takes no connections the new one answers") {
   configure(RequestKind::NonIdempotent, 1);
