--- a/packages/forward/tests/daemon_roster_test.cpp
+++ b/packages/forward/tests/daemon_roster_test.cpp
@@ -1,8 +1,11 @@
 #include "bulrushpitch/forward/daemon_roster.h"
 
+#include "mutation.h"
+
 #include <doctest/doctest.h>
 
 using namespace bulrushpitch;
+using bulrushpitch::testing::mutated;
 using std::chrono::seconds;
 
 namespace {
@@ -19,7 +22,7 @@
   Roster.update({{First, 5}, {Second, 6}}, Now);
   CHECK(Roster.alive(Now) == std::vector<InstanceId>{First, Second});
   for (std::uint64_t Beat = 1; Beat <= 4; ++Beat) {
-    Now += seconds(30);
+    Now += seconds(mutated("roster-heartbeat") ? 0 : 30);
     Roster.update({{First, 5 + 10 * Beat}, {Second, 6}}, Now);
   }
   CHECK(Roster.alive(Now) == std::vector<InstanceId>{First});
--- a/packages/forward/tests/placement_test.cpp
+++ b/packages/forward/tests/placement_test.cpp
@@ -1,6 +1,7 @@
 #include "bulrushpitch/forward/placement.h"
 
 #include "bulrushpitch/core/hash.h"
+#include "mutation.h"
 
 #include <doctest/doctest.h>
 
@@ -8,6 +9,7 @@
 #include <set>
 
 using namespace bulrushpitch;
+using bulrushpitch::testing::mutated;
 using std::chrono::milliseconds;
 
 namespace {
@@ -165,7 +167,7 @@
 // Guards against a version under trial that is bad under load, and gets too few requests to show it.
 TEST_CASE_FIXTURE(World,
                   "a version under trial runs on few upstreams, the same ones for all daemons of a region") {
-  m_Query.m_Versions.m_UpstreamShare = 0.25;
+  m_Query.m_Versions.m_UpstreamShare = mutated("trial-few-upstreams") ? 1.0 : 0.25;
   std::set<UpstreamId> Used;
   for (int Daemon = 0; Daemon < 8; ++Daemon) {
     m_Here.m_Instance = InstanceId("d" + std::to_string(Daemon));
--- a/packages/forward/tests/retry_window_test.cpp
+++ b/packages/forward/tests/retry_window_test.cpp
@@ -1,11 +1,14 @@
 #include "bulrushpitch/forward/retry_window.h"
 
+#include "mutation.h"
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 #include <vector>
 
 using namespace bulrushpitch;
+using bulrushpitch::testing::mutated;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -62,7 +65,7 @@
   RetryWindow Window(std::chrono::seconds(10), 0.0, 10.0);
   const TimePoint Now{std::chrono::seconds(100)};
   int Optional = 0;
-  while (Window.takeRetry(Now, 0.2))
+  while (Window.takeRetry(Now, mutated("retries-kept-back") ? 0.0 : 0.2))
     ++Optional;
   CHECK(Optional == 8);
   CHECK(Window.allows(Now));
--- a/packages/forward/tests/version_trial_test.cpp
+++ b/packages/forward/tests/version_trial_test.cpp
@@ -1,6 +1,7 @@
 #include "bulrushpitch/forward/version_trial.h"
 
 #include "bulrushpitch/core/hash.h"
+#include "mutation.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -8,6 +9,7 @@
 #include <set>
 
 using namespace bulrushpitch;
+using bulrushpitch::testing::mutated;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -19,7 +21,7 @@
   void answer(bool OnNew, bool Failed, milliseconds Latency = milliseconds(100),
               const std::string &Route = "ask") {
     TrialSample Sample;
-    Sample.m_Route = Route;
+    Sample.m_Route = mutated("trial-by-route") ? "any" : Route;
     Sample.m_OnNew = OnNew;
     Sample.m_Failed = Failed;
     Sample.m_Latency = Latency;
@@ -31,7 +33,8 @@
   }
   void peer(int Number, double Evidence, std::uint64_t Answers, TimePoint Now,
             const std::string &Route = "") {
-    m_Trial.onPeerEvidence(InstanceId("d" + std::to_string(Number)), {{Route, Evidence, Answers, 0}}, Now);
+    if (!mutated("trial-pooled-evidence"))
+      m_Trial.onPeerEvidence(InstanceId("d" + std::to_string(Number)), {{Route, Evidence, Answers, 0}}, Now);
   }
 
   TimePoint m_Start{seconds(100)};
@@ -198,13 +201,14 @@
 
 // Guards against a version that is bad on one route, which the good answers on the others hide.
 TEST_CASE_FIXTURE(Trial, "a version that is bad on one route is rolled back") {
-  const std::vector<std::string> Routes{"ask", "tag", "digest", "read"};
-  for (int Answer = 0; Answer < 100; ++Answer)
-    answer(false, false, milliseconds(100), Routes[static_cast<std::size_t>(Answer) % 4]);
+  constexpr int Routes = 8;
+  const auto RouteOf = [](int Answer) { return "route-" + std::to_string(Answer % Routes); };
+  for (int Answer = 0; Answer < 200; ++Answer)
+    answer(false, false, milliseconds(100), RouteOf(Answer));
   int Failures = 0;
-  for (int Answer = 0; m_Trial.verdict(m_Start) == TrialState::Running && Answer < 200; ++Answer) {
-    const bool Fails = Answer % 4 == 2 && Answer % 8 == 2;
-    answer(true, Fails, milliseconds(100), Routes[static_cast<std::size_t>(Answer) % 4]);
+  for (int Answer = 0; m_Trial.verdict(m_Start) == TrialState::Running && Answer < 400; ++Answer) {
+    const bool Fails = Answer % (2 * Routes) == 2;
+    answer(true, Fails, milliseconds(100), RouteOf(Answer));
     Failures += Fails ? 1 : 0;
   }
   CHECK(m_Trial.verdict(m_Start) == TrialState::RolledBack);
@@ -257,7 +261,7 @@
   Cold.m_Route = "ask";
   Cold.m_OnNew = true;
   Cold.m_Latency = seconds(2);
-  Cold.m_Cold = true;
+  Cold.m_Cold = !mutated("trial-cold-upstreams");
   for (int Answer = 0; Answer < 20; ++Answer)
     m_Trial.record(Cold);
   CHECK(m_Trial.verdict(m_Start + seconds(10)) == TrialState::Running);
