--- a/tests/process/drain.sh
+++ b/tests/process/drain.sh
@@ -2,7 +2,6 @@
 # A daemon is stopped gracefully while it streams. Guards against answers that are cut, new requests that are lost or
 # answered falsely, an exit code other than 0, and charges that are not handed on.
 set -euo pipefail
-OFFSET=80
 BALANCER_DELAY='1 s'
 . "$(dirname "$0")/common.sh"
 start_cluster --base-gap-ms 20
--- a/tests/process/idle.sh
+++ b/tests/process/idle.sh
@@ -2,7 +2,6 @@
 # Connections that send nothing until the idle timeout. Guards against an idle connection that ends the process: the
 # error of the first version was freed twice.
 set -euo pipefail
-OFFSET=700
 . "$(dirname "$0")/common.sh"
 start_platform
 write_settings 1 west-a-1 west-a west
--- a/tests/process/kill.sh
+++ b/tests/process/kill.sh
@@ -2,7 +2,6 @@
 # A daemon is killed while it streams an answer. Guards against an answer that is cut, repeated or mixed when the
 # caller resumes at another daemon, and against a charge that is lost with the daemon or written twice.
 set -euo pipefail
-OFFSET=0
 . "$(dirname "$0")/common.sh"
 start_cluster --base-gap-ms 20
 
--- a/tests/process/leaving.sh
+++ b/tests/process/leaving.sh
@@ -2,7 +2,6 @@
 # Cold engines under more requests than they can take, and an engine that leaves. Guards against a cold engine that gets
 # more than its cold limit or falls over, and against new work for a leaving engine after 3 s.
 set -euo pipefail
-OFFSET=100
 WARM=
 # The engines stay cold for the whole test, and both sides know the same limit.
 WARM_UP='600 s'
--- a/tests/process/lost_answer.sh
+++ b/tests/process/lost_answer.sh
@@ -2,7 +2,6 @@
 # The table service loses answers of transactions that took effect. Guards against a debit that runs twice or is
 # answered falsely, a publication whose outcome is guessed, and a charge that is lost or written twice.
 set -euo pipefail
-OFFSET=40
 . "$(dirname "$0")/common.sh"
 start_cluster
 lose() { faults $((BASE_PORT + 900)) "{\"service\":\"table\",\"loseNext\":$1}"; }
--- a/tests/process/pause.sh
+++ b/tests/process/pause.sh
@@ -2,7 +2,6 @@
 # A daemon is stopped for longer than its leases and wakes up. Guards against two daemons that hold one lease at a time,
 # a fencing number that does not rise, and a debit that the woken daemon runs twice or answers falsely.
 set -euo pipefail
-OFFSET=60
 . "$(dirname "$0")/common.sh"
 start_cluster
 
--- a/tests/process/store_outage.sh
+++ b/tests/process/store_outage.sh
@@ -2,7 +2,6 @@
 # The table service is down. Guards against model requests that stop with the store, a debit that runs without a
 # claim, a take-out that does not spread or is not obeyed, and charges that are lost or written twice in an outage.
 set -euo pipefail
-OFFSET=20
 . "$(dirname "$0")/common.sh"
 # Cold upstreams wait in an outage (design, section 5), so some must be warm before it.
 WARM_UP='1 s'
