standin: engines and services share the listener, control endpoints and start

Both now derive from UpstreamStandin; UpstreamCalls has the part of the calls that they share. Callers of the two classes see the same members.

--- a/packages/standin/include/bulrushpitch/standin/engine.h
+++ b/packages/standin/include/bulrushpitch/standin/engine.h
@@ -1,13 +1,12 @@
 #ifndef BULRUSHPITCH_STANDIN_ENGINE_H
 #define BULRUSHPITCH_STANDIN_ENGINE_H
 
-#include "bulrushpitch/net/net.h"
 #include "bulrushpitch/standin/process.h"
+#include "bulrushpitch/standin/upstream.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <map>
-#include <memory>
 
 namespace bulrushpitch::standin {
 
@@ -31,22 +30,9 @@
 /// EngineStandin Engine(Context, EngineSettings{});
 /// Engine.start();
 /// @endcode
-class EngineStandin {
+class EngineStandin : public UpstreamStandin {
 public:
   EngineStandin(boost::asio::io_context &Context, EngineSettings Settings);
-  ~EngineStandin();
-  EngineStandin(const EngineStandin &) = delete;
-  EngineStandin &operator=(const EngineStandin &) = delete;
-
-  Result<void> start();
-  Endpoint address() const;
-  Process &process();
-  Faults &faults();
-
-private:
-  class State;
-  std::shared_ptr<State> m_State;
-  HttpServer m_Server;
 };
 
 } // namespace bulrushpitch::standin
--- a/packages/standin/include/bulrushpitch/standin/service.h
+++ b/packages/standin/include/bulrushpitch/standin/service.h
@@ -1,8 +1,8 @@
 #ifndef BULRUSHPITCH_STANDIN_SERVICE_H
 #define BULRUSHPITCH_STANDIN_SERVICE_H
 
-#include "bulrushpitch/net/net.h"
 #include "bulrushpitch/standin/process.h"
+#include "bulrushpitch/standin/upstream.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -34,24 +34,11 @@
 };
 
 /// @brief One process of a payments or order service; see docs/protocols.md, section 4.4.
-class ServiceStandin {
+class ServiceStandin : public UpstreamStandin {
 public:
   /// @param Work how long each call takes
   ServiceStandin(boost::asio::io_context &Context, ProcessSettings Settings, Milliseconds Work,
                  std::shared_ptr<Ledger> Books);
-  ~ServiceStandin();
-  ServiceStandin(const ServiceStandin &) = delete;
-  ServiceStandin &operator=(const ServiceStandin &) = delete;
-
-  Result<void> start();
-  Endpoint address() const;
-  Process &process();
-  Faults &faults();
-
-private:
-  class State;
-  std::shared_ptr<State> m_State;
-  HttpServer m_Server;
 };
 
 } // namespace bulrushpitch::standin
--- a/packages/standin/src/engine.cpp
+++ b/packages/standin/src/engine.cpp
@@ -3,10 +3,13 @@
 #include "cache_calls.h"
 #include "engine_state.h"
 #include "stream_calls.h"
+#include "upstream_calls.h"
 
 #include <boost/asio/awaitable.hpp>
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -20,22 +23,16 @@
 constexpr std::string_view StreamPaths = "/streams/";
 constexpr std::string_view KvPaths = "/kv/";
 
-} // namespace
-
-class EngineStandin::State {
+class EngineCalls : public UpstreamCalls {
 public:
-  State(asio::io_context &Context, EngineSettings Settings)
-      : m_Engine(std::make_shared<EngineState>(Context, std::move(Settings))), m_Streams(*m_Engine) {}
-
-  asio::awaitable<void> handle(HttpRequest &Request, ResponseWriter &Writer) {
-    const std::string Path(Request.path());
-    if (Path.starts_with("/standin/") || Path == "/audit") {
-      static_cast<void>(
-          co_await Writer.send(guarded([this, &Path, &Request] { return control(Path, Request); })));
-      co_return;
-    }
-    if (!co_await enter(m_Engine->m_Faults, m_Engine->m_Counts, Writer))
-      co_return;
+  explicit EngineCalls(std::shared_ptr<EngineState> Engine)
+      : UpstreamCalls(Engine), m_Engine(std::move(Engine)), m_Streams(*m_Engine) {}
+
+  void loseAll() override { m_Engine->loseAll(); }
+
+private:
+  asio::awaitable<void> serve(const std::string &Path, HttpRequest &Request,
+                              ResponseWriter &Writer) override {
     if (Path == "/generate" && Request.m_Method == "POST") {
       co_await m_Streams.generate(Request, Writer);
     } else if (Path.starts_with(StreamPaths) && Request.m_Method == "GET") {
@@ -46,12 +43,6 @@
     }
   }
 
-  void stop() { m_Engine->loseAll(); }
-
-  Process &process() { return m_Engine->m_Process; }
-  Faults &faults() { return m_Engine->m_Faults; }
-
-private:
   HttpResponse route(const std::string &Path, const HttpRequest &Request) {
     if (m_Engine->m_Process.starting())
       return refusal(503, "the engine is starting");
@@ -84,29 +75,19 @@
     return jsonResponse(200, Body);
   }
 
-  HttpResponse control(const std::string &Path, const HttpRequest &Request) {
-    if (Path == "/audit")
-      return jsonResponse(200, {{"attempts", m_Engine->m_Batch.attempts()}});
-    if (Path == "/standin/stats")
-      return stats();
-    const json Body = json::parse(Request.m_Body);
-    if (Path == "/standin/faults") {
-      m_Engine->m_Faults.set(Body);
-      return jsonResponse(200, m_Engine->m_Faults.toJson());
-    }
-    if (Path == "/standin/quality")
-      return setQuality(Body);
-    return m_Engine->m_Process.control(Path, Body, [this] { m_Engine->loseAll(); })
-        .value_or(refusal(404, "no such path"));
+  HttpResponse audit() const override {
+    return jsonResponse(200, {{"attempts", m_Engine->m_Batch.attempts()}});
   }
 
-  HttpResponse setQuality(const json &Body) {
+  std::optional<HttpResponse> ownControl(const std::string &Path, const json &Body) override {
+    if (Path != "/standin/quality")
+      return std::nullopt;
     std::map<std::string, double> &Versions = m_Engine->m_Settings.m_Versions;
     Versions[Body.at("version").get<std::string>()] = Body.at("quality").get<double>();
     return jsonResponse(200, Versions);
   }
 
-  HttpResponse stats() const {
+  HttpResponse stats() const override {
     const StreamBatch &Batch = m_Engine->m_Batch;
     const Process &Engine = m_Engine->m_Process;
     return jsonResponse(200, {{"startId", Engine.startId()},
@@ -125,22 +106,10 @@
   StreamCalls m_Streams;
 };
 
+} // namespace
+
 EngineStandin::EngineStandin(asio::io_context &Context, EngineSettings Settings)
-    : m_State(std::make_shared<State>(Context, Settings)),
-      m_Server(
-          Context, Settings.m_Process.m_Address, ServerLimits{},
-          [State = m_State](HttpRequest &Request, ResponseWriter &Writer) -> asio::awaitable<void> {
-            co_await State->handle(Request, Writer);
-          },
-          renderError) {}
-EngineStandin::~EngineStandin() { m_State->stop(); }
-Result<void> EngineStandin::start() {
-  Result<void> Started = m_Server.start();
-  m_State->process().setAddress(m_Server.address());
-  return Started;
-}
-Endpoint EngineStandin::address() const { return m_Server.address(); }
-Process &EngineStandin::process() { return m_State->process(); }
-Faults &EngineStandin::faults() { return m_State->faults(); }
+    : UpstreamStandin(Context, Settings.m_Process.m_Address,
+                      std::make_shared<EngineCalls>(std::make_shared<EngineState>(Context, Settings))) {}
 
 } // namespace bulrushpitch::standin
--- a/packages/standin/src/engine_state.h
+++ b/packages/standin/src/engine_state.h
@@ -5,6 +5,7 @@
 #include "model_orders.h"
 #include "prefix_cache.h"
 #include "stream_batch.h"
+#include "upstream_calls.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -16,13 +17,11 @@
 namespace bulrushpitch::standin {
 
 /// @brief What the calls of one engine share.
-struct EngineState : std::enable_shared_from_this<EngineState> {
+struct EngineState : UpstreamState, std::enable_shared_from_this<EngineState> {
   EngineState(boost::asio::io_context &Context, EngineSettings Settings)
-      : m_Context(Context), m_Settings(std::move(Settings)), m_Process(m_Settings.m_Process, systemClock()),
+      : UpstreamState(Settings.m_Process), m_Context(Context), m_Settings(std::move(Settings)),
         m_Cache(m_Settings.m_CacheBlocks, m_Settings.m_EventLoss), m_Orders(Context, m_Settings),
-        m_Batch(Context, m_Settings, m_Process, m_Faults) {
-    m_Faults.m_Lag = m_Settings.m_Process.m_Lag;
-  }
+        m_Batch(Context, m_Settings, m_Process, m_Faults) {}
 
   /// @return the orders, which keep the whole state alive
   std::shared_ptr<ModelOrders> sharedOrders() { return {shared_from_this(), &m_Orders}; }
@@ -44,9 +43,6 @@
 
   boost::asio::io_context &m_Context;
   EngineSettings m_Settings;
-  Process m_Process;
-  Faults m_Faults;
-  FaultCounts m_Counts;
   PrefixCache m_Cache;
   ModelOrders m_Orders;
   StreamBatch m_Batch;
--- a/packages/standin/src/service.cpp
+++ b/packages/standin/src/service.cpp
@@ -1,25 +1,22 @@
 #include "bulrushpitch/standin/service.h"
 
+#include "upstream_calls.h"
+
 namespace bulrushpitch::standin {
 
 namespace asio = boost::asio;
 
-class ServiceStandin::State : public std::enable_shared_from_this<ServiceStandin::State> {
+namespace {
+
+class ServiceCalls : public UpstreamCalls {
 public:
-  State(ProcessSettings Settings, Milliseconds Work, std::shared_ptr<Ledger> Books)
-      : m_Process(std::move(Settings), systemClock()), m_Work(Work), m_Books(std::move(Books)) {
-    m_Faults.m_Lag = m_Process.settings().m_Lag;
-  }
+  ServiceCalls(std::shared_ptr<UpstreamState> Upstream, Milliseconds Work, std::shared_ptr<Ledger> Books)
+      : UpstreamCalls(Upstream), m_Process(Upstream->m_Process), m_Faults(Upstream->m_Faults),
+        m_Counts(Upstream->m_Counts), m_Work(Work), m_Books(std::move(Books)) {}
 
-  asio::awaitable<void> handle(HttpRequest &Request, ResponseWriter &Writer) {
-    const std::string Path(Request.path());
-    if (Path.starts_with("/standin/") || Path == "/audit") {
-      static_cast<void>(
-          co_await Writer.send(guarded([this, &Path, &Request] { return control(Path, Request); })));
-      co_return;
-    }
-    if (!co_await enter(m_Faults, m_Counts, Writer))
-      co_return;
+private:
+  asio::awaitable<void> serve(const std::string &Path, HttpRequest &Request,
+                              ResponseWriter &Writer) override {
     if (Path == "/load") {
       HttpResponse Report = m_Process.starting() ? refusal(503, "the process is starting")
                                                  : jsonResponse(200, m_Process.report(m_Faults.m_Lag));
@@ -35,10 +32,6 @@
     co_await call(Path, Request, Writer);
   }
 
-  Process &process() { return m_Process; }
-  Faults &faults() { return m_Faults; }
-
-private:
   asio::awaitable<void> call(const std::string &Path, HttpRequest &Request, ResponseWriter &Writer) {
     ++m_Started;
     m_Process.note(++m_Active, 0, 0.0);
@@ -130,26 +123,17 @@
         200, {{"orderId", Id}, {"item", Known.m_Item}, {"quantity", Known.m_Quantity}, {"status", "placed"}});
   }
 
-  HttpResponse control(const std::string &Path, const HttpRequest &Request) {
-    if (Path == "/audit")
-      return audit();
-    if (Path == "/standin/stats")
-      return jsonResponse(200, {{"startId", m_Process.startId()},
-                                {"started", m_Started},
-                                {"refused", m_Counts.m_Refused},
-                                {"lost", m_Counts.m_Lost},
-                                {"fallOvers", m_Process.fallOvers()},
-                                {"maxRunning", m_Process.maxRunning()},
-                                {"cold", m_Process.cold()}});
-    const json Body = json::parse(Request.m_Body);
-    if (Path == "/standin/faults") {
-      m_Faults.set(Body);
-      return jsonResponse(200, m_Faults.toJson());
-    }
-    return m_Process.control(Path, Body, [] {}).value_or(refusal(404, "no such path"));
+  HttpResponse stats() const override {
+    return jsonResponse(200, {{"startId", m_Process.startId()},
+                              {"started", m_Started},
+                              {"refused", m_Counts.m_Refused},
+                              {"lost", m_Counts.m_Lost},
+                              {"fallOvers", m_Process.fallOvers()},
+                              {"maxRunning", m_Process.maxRunning()},
+                              {"cold", m_Process.cold()}});
   }
 
-  HttpResponse audit() const {
+  HttpResponse audit() const override {
     json Keys = json::array();
     for (const std::pair<const std::pair<std::string, std::string>, Ledger::KeyRecord> &Known :
          m_Books->m_ByKey)
@@ -160,32 +144,22 @@
     return jsonResponse(200, {{"keys", Keys}, {"withoutKey", m_Books->m_WithoutKey}});
   }
 
-  Process m_Process;
-  Faults m_Faults;
-  FaultCounts m_Counts;
+  // Of the upstream's state, which the base keeps alive.
+  Process &m_Process;
+  Faults &m_Faults;
+  FaultCounts &m_Counts;
   Milliseconds m_Work;
   std::shared_ptr<Ledger> m_Books;
   std::size_t m_Active = 0;
   std::uint64_t m_Started = 0;
 };
 
+} // namespace
+
 ServiceStandin::ServiceStandin(asio::io_context &Context, ProcessSettings Settings, Milliseconds Work,
                                std::shared_ptr<Ledger> Books)
-    : m_State(std::make_shared<State>(Settings, Work, std::move(Books))),
-      m_Server(
-          Context, Settings.m_Address, ServerLimits{},
-          [State = m_State](HttpRequest &Request, ResponseWriter &Writer) -> asio::awaitable<void> {
-            co_await State->handle(Request, Writer);
-          },
-          renderError) {}
-ServiceStandin::~ServiceStandin() = default;
-Result<void> ServiceStandin::start() {
-  Result<void> Started = m_Server.start();
-  m_State->process().setAddress(m_Server.address());
-  return Started;
-}
-Endpoint ServiceStandin::address() const { return m_Server.address(); }
-Process &ServiceStandin::process() { return m_State->process(); }
-Faults &ServiceStandin::faults() { return m_State->faults(); }
+    : UpstreamStandin(Context, Settings.m_Address,
+                      std::make_shared<ServiceCalls>(std::make_shared<UpstreamState>(Settings), Work,
+                                                     std::move(Books))) {}
 
 } // namespace bulrushpitch::standin
