--- a/packages/forward/include/bulrushpitch/forward/config_index.h
+++ b/packages/forward/include/bulrushpitch/forward/config_index.h
@@ -10,6 +10,9 @@
 
 namespace bulrushpitch {
 
+/// @return the ids separated by commas, for logs; empty if all regions are allowed
+std::string joinRegions(const std::vector<RegionId> &Regions);
+
 /// @brief Index of the routes, teams and services of one configuration. Immutable.
 ///
 /// @code
--- a/packages/forward/src/config_index.cpp
+++ b/packages/forward/src/config_index.cpp
@@ -16,6 +16,13 @@
 
 } // namespace
 
+std::string joinRegions(const std::vector<RegionId> &Regions) {
+  std::string Joined;
+  for (const RegionId &Region : Regions)
+    Joined += (Joined.empty() ? "" : ",") + Region.value();
+  return Joined;
+}
+
 ConfigIndex::ConfigIndex(ForwardConfig Config) : m_Config(std::move(Config)) {
   for (const ForwardRoute &Route : m_Config.m_Routes)
     m_Routes.emplace(lowerCase(Route.m_Host) + Route.m_Prefix, &Route);
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace bulrushpitch {
 
@@ -46,11 +47,17 @@
   }
   /// @return maximum share of a service's requests that may reach a bad version during its rollout
   double trialExposure() const { return m_Bounds.m_TrialExposure; }
+  /// @return time since the store last answered a call for the operators' orders; zero before the first
+  /// answer
+  Duration ordersAge(TimePoint Now) const {
+    return m_OrdersReadAt ? Now - *m_OrdersReadAt : Duration::zero();
+  }
   /// @brief Sets the list of daemons, and adjusts this daemon's share of the retry budgets. This daemon is
   /// added to the list if it is missing.
   void setDaemons(std::vector<InstanceId> Daemons);
 
   std::shared_ptr<const ConfigIndex> m_ConfigIndex; ///< Null until a configuration has been read.
+  std::optional<TimePoint> m_OrdersReadAt;          ///< When the store last answered a call for the orders.
   bool m_RegistryRead = false;
   UpstreamPool m_Pool;
   std::map<ServiceId, VersionTrial> m_Trials;
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -73,6 +73,8 @@
 struct OrderChanges {
   bool m_FullSnapshot = false; ///< A full snapshot of the orders, not a delta.
   std::uint64_t m_Cursor = 0;  ///< Cursor for the next watch.
+  /// Changes that came with the answer though a later one replaces them.
+  std::size_t m_SupersededCount = 0;
   std::optional<ForwardConfig> m_Config;
   std::vector<DomainId> m_DomainsOut;
   std::vector<DomainId> m_DomainsBack;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -118,6 +118,7 @@
       if (Orders.m_Unavailable)
         spawn(m_Context, readPromptEvidence(shared_from_this()));
       apply(Changes);
+      m_State.m_OrdersReadAt = m_Clock();
     };
     return Table;
   }
@@ -307,6 +308,18 @@
       m_State.m_Trials.erase(Service);
   }
 
+  /// @return the routes that are bound to regions, for the log; only the first ones
+  static std::string regionsByRoute(const ForwardConfig &Config) {
+    constexpr std::size_t MaxTextBytes = 400;
+    std::string Text;
+    for (const ForwardRoute &Route : Config.m_Routes) {
+      if (Route.m_Regions.empty() || Text.size() >= MaxTextBytes)
+        continue;
+      Text += (Text.empty() ? "" : " ") + Route.m_Name + "=" + joinRegions(Route.m_Regions);
+    }
+    return Text;
+  }
+
   void applyConfig(const OrderChanges &Changes) {
     if (!Changes.m_Config)
       return;
@@ -314,10 +327,15 @@
     if (m_State.m_ConfigIndex && Revision <= m_State.m_ConfigIndex->config().m_Revision)
       return;
     m_State.m_ConfigIndex = std::make_shared<const ConfigIndex>(*Changes.m_Config);
-    m_Log.add(LogClass::State, "config_applied",
-              {{"revision", static_cast<std::int64_t>(Revision.value())},
-               {"routes", static_cast<std::int64_t>(Changes.m_Config->m_Routes.size())},
-               {"teams", static_cast<std::int64_t>(Changes.m_Config->m_Teams.size())}});
+    const std::string BoundRoutes = regionsByRoute(*Changes.m_Config);
+    m_Log.add(
+        LogClass::State, "config_applied",
+        {{"revision", static_cast<std::int64_t>(Revision.value())},
+         {"routes", static_cast<std::int64_t>(Changes.m_Config->m_Routes.size())},
+         {"teams", static_cast<std::int64_t>(Changes.m_Config->m_Teams.size())},
+         {"superseded", static_cast<std::int64_t>(Changes.m_SupersededCount)},
+         {"orders_age_ms", std::chrono::duration<double, std::milli>(m_State.ordersAge(m_Clock())).count()},
+         {"route_regions", std::string_view(BoundRoutes)}});
     m_OnConfig(m_State.m_ConfigIndex->config());
   }
 
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -203,6 +203,7 @@
   m_Handle = std::make_shared<CallHandle>();
   HttpRequest Outgoing = m_Dependencies.m_Translation.m_ToUpstream(m_Request, upstreamCall(Target));
   m_UpstreamStartedAt = Target.m_Entry.m_StartedAt;
+  m_AttemptRegion = Target.m_Region;
   m_SentTo.push_back(Id);
   CallOptions Options = callOptions(Id);
   m_AttemptModelIndex = m_ModelIndex;
@@ -250,10 +251,18 @@
   if (!certainlyNotRun(Outcome))
     m_MayHaveRun = true;
   recordCrashSuspicion(Target, Outcome);
+  const std::string Regions = joinRegions(m_Route->m_Regions);
+  const std::string TeamRegions = m_Team ? joinRegions(m_Team->m_Regions) : std::string();
   m_Dependencies.m_Log.add(
       LogClass::Request, "attempt_ended",
       {{"request", std::string_view(m_Caller.m_AttemptId)},
        {"upstream", std::string_view(Target.value())},
+       {"region", std::string_view(m_AttemptRegion.value())},
+       {"route_regions", std::string_view(Regions)},
+       {"team_regions", std::string_view(TeamRegions)},
+       {"revision", static_cast<std::int64_t>(m_ConfigIndex->config().m_Revision.value())},
+       {"newest_revision",
+        static_cast<std::int64_t>(m_Dependencies.m_State.m_ConfigIndex->config().m_Revision.value())},
        {"version", std::string_view(Version.value())},
        {"outcome", nameOf(Outcome)},
        {"error", m_AttemptError ? static_cast<std::int64_t>(*m_AttemptError) : 0},
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -142,6 +142,7 @@
   bool m_Escalated = false;
   std::size_t m_AttemptModelIndex = 0;     ///< Of the current attempt, for the log.
   std::int64_t m_UpstreamStartedAt = 0;    ///< Of the current attempt's upstream, as in the registry.
+  RegionId m_AttemptRegion;                ///< Of the current attempt's upstream, for the log.
   std::optional<ErrorCode> m_AttemptError; ///< Of the current attempt, for the log.
   std::uint32_t m_AttemptEvents = 0;       ///< Complete events received in the current attempt.
   ModelId m_AttemptModel;                  ///< Of the current attempt; empty if the caller names the model.
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -247,6 +247,21 @@
   CHECK(m_ConfigsApplied == 2);
 }
 
+TEST_CASE_FIXTURE(Fixture, "the log of a configuration has its regions and the revisions that it replaced") {
+  start();
+  OrderChanges Changes = configWithRevision(7);
+  Changes.m_SupersededCount = 3;
+  Changes.m_Config->m_Routes.resize(2);
+  Changes.m_Config->m_Routes[0].m_Name = "free";
+  Changes.m_Config->m_Routes[1].m_Name = "bound";
+  Changes.m_Config->m_Routes[1].m_Regions = {RegionId("west"), RegionId("hill")};
+  m_Store.m_NewOrders.push_back(Changes);
+  runFor(milliseconds(300));
+  m_Log->flush();
+  CHECK(m_LogText.find("\"superseded\":3") != std::string::npos);
+  CHECK(m_LogText.find("\"route_regions\":\"bound=west,hill\"") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(Fixture, "the state is unchanged while the store is unavailable") {
   start();
   m_Store.m_Unavailable = true;
