gateway: configurations that follow each other closely are read as one, so that the newest is in force in time

Callers saw requests run outside their home region (HOME), refused with 404 or served by dropped routes (CONFIG, DENIED), with no fault anywhere.

Cause: every daemon was sent every revision in full. The change feed lists each change of the configuration's row, so that a daemon that was behind was sent all that it had missed, and used the last. On a link that many daemons share, changes that follow each other need more than it carries; the lag grows, and with it what each answer holds; answers that pass their time limit are asked for again. Class: congestion collapse, the cost of catching up grows with the lag.

A single change is learned as before. The transfer no longer grows with the lag, and a daemon is behind by the interval and one transfer.

Test: "configurations that come faster than a thin link carries them are in force in time" failed before (CHECK( 7 == 31 ), three seconds after the last change).

--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -1,5 +1,7 @@
 #include "bulrushpitch/gateway/control_service.h"
 
+#include "bulrushpitch/gateway/order_pacer.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -13,8 +15,7 @@
 
 /// Timeout of one long poll. A dead connection is detected after this time at the latest.
 constexpr Duration WatchTimeout = milliseconds(2500);
-/// Pause between long polls, so that one call returns several changes: each call is charged. It is a small
-/// part of the three seconds within which a configuration must be in force.
+/// Pause between long polls, so that one call returns several changes: each call is charged.
 constexpr Duration WatchInterval = milliseconds(250);
 /// The registry changes often while many upstreams start or stop together. This is a third of the time within
 /// which a leaving upstream must stop getting requests.
@@ -103,22 +104,40 @@
     std::function<asio::awaitable<Expected<Changes>>(ControlStore &)> m_Read;
     std::function<asio::awaitable<Expected<Changes>>(ControlStore &, std::uint64_t Cursor, Duration Timeout)>
         m_Watch;
-    std::function<void(const Feed &, const Changes &)> m_Apply;
+    /// May set the pause before the next call.
+    std::function<void(Feed &, const Changes &)> m_Apply;
     /// Called before each call of the store. Returns whether the table is needed now; may reset the cursor.
     std::function<bool(Feed &)> m_Prepare = [](Feed &) { return true; };
+    /// Called after a call that failed.
+    std::function<void(const Error &)> m_Failed = [](const Error &) {};
   };
 
   WatchedTable<OrderChanges> orders() {
     WatchedTable<OrderChanges> Table;
-    Table.m_Feed = {"orders", WatchInterval};
+    Table.m_Feed.m_Name = "orders";
     Table.m_Read = &ControlStore::readOrders;
     Table.m_Watch = &ControlStore::watchOrders;
-    Table.m_Apply = [this](const Feed &Orders, const OrderChanges &Changes) {
+    Table.m_Prepare = [this](Feed &Orders) {
+      if (m_OrderPacer.next().m_Call == OrderCall::Read)
+        Orders.m_Cursor.reset();
+      m_OrderCallSentAt = m_Clock();
+      return true;
+    };
+    Table.m_Apply = [this](Feed &Orders, const OrderChanges &Changes) {
       // A call of the slow watch on crashes may have been lost with the store.
       if (Orders.m_Unavailable)
         spawn(m_Context, readPromptEvidence(shared_from_this()));
-      apply(Changes);
-      m_State.m_OrdersReadAt = m_Clock();
+      const bool ConfigChanged = apply(Changes);
+      const TimePoint Now = m_Clock();
+      m_State.m_OrdersReadAt = Now;
+      const NextOrderCall Next = Changes.m_FullSnapshot
+                                     ? m_OrderPacer.onRead(ConfigChanged, Now - m_OrderCallSentAt, Now)
+                                     : m_OrderPacer.onWatched(ConfigChanged, Changes.m_SupersededCount, Now);
+      Orders.m_Interval = Next.m_Pause;
+    };
+    Table.m_Failed = [this](const Error &Failure) {
+      if (Failure.m_Code == ErrorCode::PlatformTimeout)
+        m_OrderPacer.onTimedOut();
     };
     return Table;
   }
@@ -128,7 +147,7 @@
     Table.m_Feed = {"upstreams", RegistryWatchInterval};
     Table.m_Read = &ControlStore::readUpstreams;
     Table.m_Watch = &ControlStore::watchUpstreams;
-    Table.m_Apply = [this](const Feed &Upstreams, const UpstreamChanges &Changes) {
+    Table.m_Apply = [this](Feed &Upstreams, const UpstreamChanges &Changes) {
       if (Upstreams.m_Unavailable)
         m_RegistryRecoveredAt = m_Clock();
       apply(Changes);
@@ -143,7 +162,7 @@
     Table.m_Feed = {"trials", TrialStatusWatchInterval};
     Table.m_Read = &ControlStore::readTrials;
     Table.m_Watch = &ControlStore::watchTrials;
-    Table.m_Apply = [this](const Feed &, const TrialChanges &Changes) { apply(Changes); };
+    Table.m_Apply = [this](Feed &, const TrialChanges &Changes) { apply(Changes); };
     Table.m_Prepare = [this](Feed &Trials) {
       if (std::exchange(m_TrialSnapshotNeeded, false))
         Trials.m_Cursor.reset();
@@ -158,7 +177,7 @@
     Table.m_Feed = {"evidence", EvidenceWatchInterval};
     Table.m_Read = &ControlStore::readEvidence;
     Table.m_Watch = &ControlStore::watchEvidence;
-    Table.m_Apply = [this](const Feed &, const EvidenceChanges &Changes) { apply(Changes); };
+    Table.m_Apply = [this](Feed &, const EvidenceChanges &Changes) { apply(Changes); };
     Table.m_Prepare = [this](Feed &) { return needsEvidence(); };
     return Table;
   }
@@ -170,7 +189,7 @@
     Table.m_Feed = {"crashes", WatchInterval};
     Table.m_Read = &ControlStore::readPromptEvidence;
     Table.m_Watch = &ControlStore::watchPromptEvidence;
-    Table.m_Apply = [this](const Feed &, const PromptEvidenceChanges &Changes) { apply(Changes); };
+    Table.m_Apply = [this](Feed &, const PromptEvidenceChanges &Changes) { apply(Changes); };
     Table.m_Prepare = [this](Feed &Crashes) {
       Crashes.m_WatchTimeout =
           m_State.m_PromptQuarantine.hasCrashes() ? CrashWatchTimeout : CalmCrashWatchTimeout;
@@ -190,6 +209,8 @@
       const Expected<Changes> Outcome = co_await Self->callNext(Table);
       if (Outcome)
         Table.m_Apply(Table.m_Feed, *Outcome);
+      else
+        Table.m_Failed(Outcome.error());
       co_await Self->waitBeforeNextCall(Table.m_Feed, callResultOf(Outcome));
     }
   }
@@ -290,8 +311,9 @@
     co_await sleepFor(m_Context, Table.m_Backoff + Duration(m_Random() % MinBackoff.count()));
   }
 
-  void apply(const OrderChanges &Changes) {
-    applyConfig(Changes);
+  /// @return whether the configuration changed
+  bool apply(const OrderChanges &Changes) {
+    const bool ConfigChanged = applyConfig(Changes);
     std::set<DomainId> Out = Changes.m_FullSnapshot ? std::set<DomainId>() : m_State.m_Pool.domainsOut();
     for (const DomainId &Domain : Changes.m_DomainsOut) {
       Out.insert(Domain);
@@ -306,6 +328,7 @@
       applyTrialOrder(Order);
     for (const ServiceId &Service : Changes.m_TrialsWithdrawn)
       m_State.m_Trials.erase(Service);
+    return ConfigChanged;
   }
 
   /// @return the routes that are bound to regions, for the log; only the first ones
@@ -320,12 +343,13 @@
     return Text;
   }
 
-  void applyConfig(const OrderChanges &Changes) {
+  /// @return whether the configuration changed
+  bool applyConfig(const OrderChanges &Changes) {
     if (!Changes.m_Config)
-      return;
+      return false;
     const ConfigRevision Revision = Changes.m_Config->m_Revision;
     if (m_State.m_ConfigIndex && Revision <= m_State.m_ConfigIndex->config().m_Revision)
-      return;
+      return false;
     m_State.m_ConfigIndex = std::make_shared<const ConfigIndex>(*Changes.m_Config);
     const std::string BoundRoutes = regionsByRoute(*Changes.m_Config);
     m_Log.add(
@@ -337,6 +361,7 @@
          {"orders_age_ms", std::chrono::duration<double, std::milli>(m_State.ordersAge(m_Clock())).count()},
          {"route_regions", std::string_view(BoundRoutes)}});
     m_OnConfig(m_State.m_ConfigIndex->config());
+    return true;
   }
 
   void applyTrialOrder(const TrialOrder &Order) {
@@ -583,6 +608,8 @@
   ConfigHook m_OnConfig;
   Ticker m_Ticker;
   bool m_Stopped = false;
+  OrderPacer m_OrderPacer;
+  TimePoint m_OrderCallSentAt{};
   std::optional<TimePoint> m_RegistryRecoveredAt;
   /// Read all rollout statuses again. Set by a new order, as its status may have been read and ignored before
   /// the order was known.
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -157,6 +157,54 @@
   asio::io_context &m_Context;
 };
 
+OrderChanges configWithRevision(std::uint64_t Revision);
+
+/// A store that is reached over a link on which each configuration takes TransferTime. Its operator writes
+/// ChangeCount configurations, one every ChangeInterval; a watch transfers all changes since its cursor.
+class ThinLinkStore : public FakeStore {
+public:
+  static constexpr Duration TransferTime = milliseconds(300);
+  static constexpr Duration ChangeInterval = milliseconds(100);
+  static constexpr std::uint64_t ChangeCount = 30;
+
+  explicit ThinLinkStore(asio::io_context &Context) : FakeStore(Context), m_LinkContext(Context) {}
+
+  void startChanges() { m_ChangesStartedAt = systemClock()(); }
+  std::uint64_t revision() const {
+    if (!m_ChangesStartedAt)
+      return 1;
+    const Duration Elapsed = systemClock()() - *m_ChangesStartedAt;
+    return 1 + std::min(ChangeCount, static_cast<std::uint64_t>(Elapsed / ChangeInterval));
+  }
+
+  asio::awaitable<Expected<OrderChanges>> readOrders() override {
+    OrderChanges Snapshot = configWithRevision(revision());
+    Snapshot.m_Cursor = Snapshot.m_Config->m_Revision.value();
+    Snapshot.m_FullSnapshot = true;
+    co_await sleepFor(m_LinkContext, TransferTime);
+    co_return Snapshot;
+  }
+  asio::awaitable<Expected<OrderChanges>> watchOrders(std::uint64_t Cursor, Duration Timeout) override {
+    constexpr Duration PollInterval = milliseconds(5);
+    const TimePoint Deadline = systemClock()() + Timeout;
+    while (revision() == Cursor && systemClock()() < Deadline)
+      co_await sleepFor(m_LinkContext, PollInterval);
+    OrderChanges Next;
+    Next.m_Cursor = revision();
+    if (Next.m_Cursor == Cursor)
+      co_return Next;
+    Next = configWithRevision(revision());
+    Next.m_Cursor = Next.m_Config->m_Revision.value();
+    Next.m_SupersededCount = Next.m_Cursor - Cursor - 1;
+    co_await sleepFor(m_LinkContext, TransferTime * (Next.m_Cursor - Cursor));
+    co_return Next;
+  }
+
+private:
+  asio::io_context &m_LinkContext;
+  std::optional<TimePoint> m_ChangesStartedAt;
+};
+
 OrderChanges configWithRevision(std::uint64_t Revision) {
   OrderChanges Changes;
   Changes.m_Cursor = 10 + Revision;
@@ -189,12 +237,15 @@
         1000.0);
     m_Store.m_Orders = configWithRevision(5);
     m_Store.m_Upstreams.m_Updated = {registeredUpstream("a"), registeredUpstream("b")};
-    m_Control =
-        std::make_shared<ControlService>(m_Context, m_Store, *m_State, *m_Log, systemClock(), seededRandom(1),
-                                         [this](const ForwardConfig &) { ++m_ConfigsApplied; });
+    useStore(m_Store);
   }
   ~Fixture() { m_Control->stop(); }
 
+  void useStore(ControlStore &Store) {
+    m_Control =
+        std::make_shared<ControlService>(m_Context, Store, *m_State, *m_Log, systemClock(), seededRandom(1),
+                                         [this](const ForwardConfig &) { ++m_ConfigsApplied; });
+  }
   void start() {
     REQUIRE(capture([this] { return m_Control->start(); }));
     runFor(milliseconds(100));
@@ -289,6 +340,21 @@
   CHECK(revision() == 9);
 }
 
+// Guards against requests outside the regions of the newest configuration while changes follow each other.
+TEST_CASE_FIXTURE(Fixture,
+                  "configurations that come faster than a thin link carries them are in force in time") {
+  constexpr milliseconds TimeToBeInForce{3000};
+  ThinLinkStore Store(m_Context);
+  useStore(Store);
+  start();
+  runFor(milliseconds(700));
+  Store.startChanges();
+  runFor(
+      std::chrono::duration_cast<milliseconds>(ThinLinkStore::ChangeInterval * ThinLinkStore::ChangeCount) +
+      TimeToBeInForce);
+  CHECK(revision() == Store.revision());
+}
+
 TEST_CASE_FIXTURE(Fixture, "removed upstreams and failure domains out of service get no requests") {
   start();
   UpstreamChanges Removal;
