forward: a restored registry no longer revives upstreams that are leaving or have left

What callers would see: after the store comes back from a copy some seconds old, an upstream that had reported that it drains is ready again in the registry, and one that had left is there again. Requests were sent to both: later than a leaving upstream may get them (DRAIN), and to addresses that may belong to others by now.

Nobody calls it yet; the ordinary paths are unchanged but for the bounded memory of departures (1,024 entries, 60 s). - The protocol says that an incarnation that reports that it drains exits. For 10 s after a restore, also in updates (former states may be written again in their order), it stays draining while it is the same incarnation (same start, same address). Outside this time the registry's word holds as before: a single wrong row must not cost an upstream for good. - An incarnation that has left, or that a later one has replaced, is held until its row changes or 10 s have passed: rows are back about two seconds after the store, and the registry removes silent upstreams after three intervals of 1.2 s. A hold without end could cost a sound upstream that had been removed for its silence only, as a heartbeat alone changes no row. - Entries that are missing get the grace period as before; draining ones and held ones are removed at once.

Evidence: with replaceAllAfterRestore() as plain replaceAll(), as today, 8 of the new tests fail, among them "a draining upstream stays draining when the registry is restored from before: CHECK_FALSE( usable() ) is NOT correct!" and "an upstream that had left and is in the restored registry gets no requests: CHECK_FALSE( usable() ) is NOT correct!".

--- a/packages/forward/include/bulrushpitch/forward/upstream_pool.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_pool.h
@@ -33,6 +33,9 @@
   /// Moving average over its attempts, 0 to 1; error responses count as failures.
   double m_FailureRate = 0.0;
   std::optional<TimePoint> m_ExpiresAt; ///< Set if its entry vanished while the store was unavailable.
+  /// Until this time, it gets no requests: its row comes from a restored copy of the registry, and this
+  /// incarnation had left before.
+  TimePoint m_HeldUntil{};
   RateLimiter m_ColdRateLimiter;
 };
 
@@ -50,6 +53,14 @@
   void remove(const UpstreamId &Id, TimePoint Now, Duration Grace);
   /// @brief Applies a full snapshot of the registry; entries that are not in it are removed.
   void replaceAll(const std::vector<RegisteredUpstream> &Entries, TimePoint Now, Duration Grace);
+  /// @brief Applies the first full snapshot that is read after the store was restored from an older copy.
+  ///
+  /// Entries that are not in it get the grace period, draining ones are removed. An upstream that was
+  /// draining stays so while it is the same incarnation, also if its row is written again in the order of
+  /// its former states. An upstream that had left, or had been replaced by a later incarnation, is held: it
+  /// gets no requests until its row changes, or until a fixed time has passed in which the registry would
+  /// have removed it again.
+  void replaceAllAfterRestore(const std::vector<RegisteredUpstream> &Entries, TimePoint Now, Duration Grace);
   /// @brief Removes entries whose grace period has expired.
   void expire(TimePoint Now);
 
@@ -103,8 +114,20 @@
   std::size_t size() const { return m_Upstreams.size(); }
 
 private:
+  /// An incarnation that has left.
+  struct Departure {
+    RegisteredUpstream m_Entry;
+    TimePoint m_At{};
+  };
+
   void storeEntry(const RegisteredUpstream &Entry, TimePoint Now);
   void rebuildServiceIndex();
+  void recordDeparture(const RegisteredUpstream &Entry, TimePoint Now);
+  /// @return whether the entry's incarnation is known to be draining
+  bool isLeaving(const RegisteredUpstream &Entry, TimePoint Now) const;
+  /// @return whether the entry's incarnation has left, or was replaced by a later one
+  bool hasLeft(const RegisteredUpstream &Entry, TimePoint Now) const;
+  const Departure *departureOf(const UpstreamId &Id, TimePoint Now) const;
 
   std::map<DomainId, RegionId> m_Regions;
   struct DomainFailures {
@@ -114,6 +137,8 @@
   std::map<DomainId, DomainFailures> m_DomainFailures;
   std::set<DomainId> m_DomainsOutOfService;
   std::map<UpstreamId, PooledUpstream> m_Upstreams;
+  std::map<UpstreamId, Departure> m_Departures; ///< The latest one of each upstream.
+  TimePoint m_RestoreEndsAt{};                  ///< Until then, rows may be older than what is known.
   std::unordered_map<ServiceId, std::vector<PooledUpstream *>> m_ByService;
 };
 
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -17,6 +17,13 @@
 constexpr Duration LivenessTimeout = milliseconds(500);
 /// Data that arrived before a crash is read at most so long after it.
 constexpr Duration LateDataTime = milliseconds(1000);
+/// How long after a restore the rows of the registry may still be older than what is known: rows are written
+/// again about two seconds after the return of the store, and those of upstreams that have left are removed
+/// after three liveness intervals of 1.2 s.
+constexpr Duration RestoreSettleTime = milliseconds(10'000);
+/// Departures are remembered for longer than a restored copy is old.
+constexpr Duration DepartureMemory = std::chrono::seconds(60);
+constexpr std::size_t MaxDepartures = 1024;
 constexpr double EventGapWeight = 0.1; ///< Weight of the newest gap in the average.
 constexpr Duration EventGapDecayTime = milliseconds(3000);
 /// How long after a failed connection the upstream counts as stopped.
@@ -38,6 +45,11 @@
          Outcome == AttemptOutcome::Broken || Outcome == AttemptOutcome::WrongAddress;
 }
 
+/// @return whether two entries with the same id belong to the same incarnation
+bool sameIncarnation(const RegisteredUpstream &Left, const RegisteredUpstream &Right) {
+  return Left.m_StartedAt == Right.m_StartedAt && Left.m_Address == Right.m_Address;
+}
+
 Duration ejectionDuration(std::uint32_t ConsecutiveFailures) {
   const std::uint32_t Doublings =
       std::min(ConsecutiveFailures - std::min(ConsecutiveFailures, EjectionFailureLimit), 3U);
@@ -50,20 +62,22 @@
 
 void UpstreamPool::update(const RegisteredUpstream &Entry, TimePoint Now) {
   storeEntry(Entry, Now);
+  m_Upstreams[Entry.m_Id].m_HeldUntil = TimePoint{};
   rebuildServiceIndex();
 }
 
 void UpstreamPool::storeEntry(const RegisteredUpstream &Entry, TimePoint Now) {
+  const bool Leaving = Now < m_RestoreEndsAt && isLeaving(Entry, Now);
   const bool Registered = m_Upstreams.count(Entry.m_Id) > 0;
   PooledUpstream &Target = m_Upstreams[Entry.m_Id];
-  const bool Restarted = Registered && (Target.m_Entry.m_StartedAt != Entry.m_StartedAt ||
-                                        Target.m_Entry.m_Address != Entry.m_Address);
-  if (Restarted) {
+  if (Registered && !sameIncarnation(Target.m_Entry, Entry)) {
+    Target.m_HeldUntil = TimePoint{};
     Target.m_EjectedUntil = TimePoint{};
     Target.m_ConsecutiveFailures = 0;
     Target.m_FailureRate = 0.0;
   }
   Target.m_Entry = Entry;
+  Target.m_Entry.m_Draining = Entry.m_Draining || Leaving;
   const auto Region = m_Regions.find(Entry.m_Domain);
   Target.m_Region = Region == m_Regions.end() ? RegionId() : Region->second;
   Target.m_ExpiresAt.reset();
@@ -75,7 +89,8 @@
   const auto Found = m_Upstreams.find(Id);
   if (Found == m_Upstreams.end())
     return;
-  if (Grace <= Duration::zero() || Found->second.m_Entry.m_Draining) {
+  if (Grace <= Duration::zero() || Found->second.m_Entry.m_Draining || Now < Found->second.m_HeldUntil) {
+    recordDeparture(Found->second.m_Entry, Now);
     m_Upstreams.erase(Found);
     rebuildServiceIndex();
   } else if (!Found->second.m_ExpiresAt) {
@@ -98,9 +113,60 @@
     remove(Id, Now, Grace);
 }
 
+void UpstreamPool::replaceAllAfterRestore(const std::vector<RegisteredUpstream> &Entries, TimePoint Now,
+                                          Duration Grace) {
+  m_RestoreEndsAt = Now + RestoreSettleTime;
+  std::vector<UpstreamId> Left;
+  for (const RegisteredUpstream &Entry : Entries)
+    if (hasLeft(Entry, Now))
+      Left.push_back(Entry.m_Id);
+  replaceAll(Entries, Now, Grace);
+  for (const UpstreamId &Id : Left)
+    m_Upstreams[Id].m_HeldUntil = m_RestoreEndsAt;
+}
+
+const UpstreamPool::Departure *UpstreamPool::departureOf(const UpstreamId &Id, TimePoint Now) const {
+  const auto Found = m_Departures.find(Id);
+  const bool Remembered = Found != m_Departures.end() && Now - Found->second.m_At < DepartureMemory;
+  return Remembered ? &Found->second : nullptr;
+}
+
+bool UpstreamPool::isLeaving(const RegisteredUpstream &Entry, TimePoint Now) const {
+  const auto Known = m_Upstreams.find(Entry.m_Id);
+  if (Known != m_Upstreams.end() && sameIncarnation(Known->second.m_Entry, Entry))
+    return Known->second.m_Entry.m_Draining;
+  const Departure *Departed = departureOf(Entry.m_Id, Now);
+  return Departed && Departed->m_Entry.m_Draining && sameIncarnation(Departed->m_Entry, Entry);
+}
+
+bool UpstreamPool::hasLeft(const RegisteredUpstream &Entry, TimePoint Now) const {
+  const auto Known = m_Upstreams.find(Entry.m_Id);
+  if (Known != m_Upstreams.end())
+    return Now < Known->second.m_HeldUntil || Entry.m_StartedAt < Known->second.m_Entry.m_StartedAt;
+  const Departure *Departed = departureOf(Entry.m_Id, Now);
+  return Departed &&
+         (Entry.m_StartedAt < Departed->m_Entry.m_StartedAt || sameIncarnation(Entry, Departed->m_Entry));
+}
+
+void UpstreamPool::recordDeparture(const RegisteredUpstream &Entry, TimePoint Now) {
+  m_Departures[Entry.m_Id] = {Entry, Now};
+  if (m_Departures.size() <= MaxDepartures)
+    return;
+  std::erase_if(m_Departures,
+                [Now](const auto &Departed) { return Now - Departed.second.m_At >= DepartureMemory; });
+  if (m_Departures.size() > MaxDepartures)
+    m_Departures.erase(
+        std::min_element(m_Departures.begin(), m_Departures.end(), [](const auto &Left, const auto &Right) {
+          return Left.second.m_At < Right.second.m_At;
+        }));
+}
+
 void UpstreamPool::expire(TimePoint Now) {
-  const std::size_t Expired = std::erase_if(m_Upstreams, [Now](const auto &Upstream) {
-    return Upstream.second.m_ExpiresAt && *Upstream.second.m_ExpiresAt <= Now;
+  const std::size_t Expired = std::erase_if(m_Upstreams, [&](const auto &Upstream) {
+    if (!Upstream.second.m_ExpiresAt || Now < *Upstream.second.m_ExpiresAt)
+      return false;
+    recordDeparture(Upstream.second.m_Entry, Now);
+    return true;
   });
   if (Expired > 0)
     rebuildServiceIndex();
@@ -212,6 +278,8 @@
 bool UpstreamPool::usable(const PooledUpstream &Candidate, TimePoint Now) const {
   if (Candidate.m_Entry.m_Draining || m_DomainsOutOfService.count(Candidate.m_Entry.m_Domain) > 0)
     return false;
+  if (Now < Candidate.m_HeldUntil)
+    return false;
   return !Candidate.m_ExpiresAt || Now < *Candidate.m_ExpiresAt;
 }
 
--- a/packages/forward/tests/upstream_pool_test.cpp
+++ b/packages/forward/tests/upstream_pool_test.cpp
@@ -130,3 +130,142 @@
   CHECK_FALSE(m_Pool.find(m_Id));
   CHECK(m_Pool.ofService(ServiceId("llm")).size() == 1);
 }
+
+namespace {
+
+constexpr Duration Grace = milliseconds(2200);
+
+RegisteredUpstream drainingEntry(std::string Id) {
+  RegisteredUpstream Entry = entry(std::move(Id));
+  Entry.m_Draining = true;
+  return Entry;
+}
+
+/// @return the entry of a later incarnation under the same id, at another address
+RegisteredUpstream restartedEntry(std::string Id) {
+  RegisteredUpstream Entry = entry(std::move(Id));
+  Entry.m_StartedAt = 2;
+  Entry.m_Address = {"127.0.0.1", 9001};
+  return Entry;
+}
+
+} // namespace
+
+// Guards against requests to a leaving upstream, because a restored registry still calls it ready.
+TEST_CASE_FIXTURE(Fixture, "a draining upstream stays draining when the registry is restored from before") {
+  m_Pool.update(drainingEntry("a"), m_Now);
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  CHECK_FALSE(usable());
+  m_Now += std::chrono::minutes(1);
+  m_Pool.expire(m_Now);
+  CHECK_FALSE(usable());
+}
+
+// Guards against requests to a leaving upstream whose former states are written again one after the other.
+TEST_CASE_FIXTURE(Fixture, "a draining upstream whose ready state is written again stays draining") {
+  m_Pool.update(drainingEntry("a"), m_Now);
+  m_Pool.replaceAllAfterRestore({}, m_Now, Grace);
+  m_Pool.update(entry("a"), m_Now + milliseconds(1000));
+  CHECK_FALSE(usable());
+}
+
+TEST_CASE_FIXTURE(Fixture, "an upstream that restarts after a restore of the registry is not draining") {
+  m_Pool.update(drainingEntry("a"), m_Now);
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  m_Pool.update(restartedEntry("a"), m_Now + milliseconds(1000));
+  CHECK(usable());
+}
+
+// Guards against requests to addresses of upstreams that have left.
+TEST_CASE_FIXTURE(Fixture, "an upstream that had left and is in the restored registry gets no requests") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, Duration::zero());
+  m_Now += std::chrono::seconds(8);
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  CHECK_FALSE(usable());
+  m_Now += milliseconds(9900);
+  CHECK_FALSE(usable());
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "an upstream held after a restore is removed at once when its removal is written") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, Duration::zero());
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  m_Pool.remove(m_Id, m_Now + milliseconds(500), Grace);
+  CHECK_FALSE(m_Pool.find(m_Id));
+}
+
+// Guards against an upstream that is lost for good, because it had been removed for its silence only.
+TEST_CASE_FIXTURE(Fixture, "an upstream held after a restore is used once its row changes or the hold ends") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.update(entry("b"), m_Now);
+  m_Pool.replaceAll({}, m_Now, Duration::zero());
+  m_Pool.replaceAllAfterRestore({entry("a"), entry("b")}, m_Now, Grace);
+  m_Pool.update(entry("a"), m_Now + milliseconds(500));
+  CHECK(m_Pool.usable(*m_Pool.find(m_Id), m_Now + milliseconds(500)));
+  CHECK_FALSE(m_Pool.usable(*m_Pool.find(UpstreamId("b")), m_Now + milliseconds(500)));
+  CHECK(m_Pool.usable(*m_Pool.find(UpstreamId("b")), m_Now + std::chrono::seconds(10)));
+}
+
+// Guards against requests to the address that an upstream had before its restart.
+TEST_CASE_FIXTURE(Fixture, "an incarnation that was replaced since the copy gets no requests") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.update(restartedEntry("a"), m_Now);
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  CHECK_FALSE(usable());
+  m_Pool.update(restartedEntry("a"), m_Now + milliseconds(500));
+  CHECK(usable());
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a draining upstream that had left since the copy is not ready when it reappears") {
+  m_Pool.update(drainingEntry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, Duration::zero());
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  m_Pool.update(entry("a"), m_Now + milliseconds(500));
+  CHECK_FALSE(usable());
+}
+
+TEST_CASE_FIXTURE(Fixture, "upstreams registered since the copy stay usable for the grace period") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.update(drainingEntry("b"), m_Now);
+  m_Pool.replaceAllAfterRestore({}, m_Now, Grace);
+  CHECK(usable());
+  CHECK_FALSE(m_Pool.find(UpstreamId("b")));
+  m_Now += Grace;
+  m_Pool.expire(m_Now);
+  CHECK_FALSE(m_Pool.find(m_Id));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a restore does not hold upstreams that left long ago or that were never known") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, Duration::zero());
+  m_Now += std::chrono::minutes(2);
+  m_Pool.replaceAllAfterRestore({entry("a"), entry("b")}, m_Now, Grace);
+  CHECK(usable());
+  CHECK(m_Pool.usable(*m_Pool.find(UpstreamId("b")), m_Now));
+}
+
+// Guards against an upstream that is held or draining outside the time after a restore.
+TEST_CASE_FIXTURE(Fixture, "ordinary snapshots and updates take the registry's word") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, Duration::zero());
+  m_Pool.replaceAll({entry("a")}, m_Now, Duration::zero());
+  CHECK(usable());
+  m_Pool.update(drainingEntry("a"), m_Now);
+  m_Pool.update(entry("a"), m_Now);
+  CHECK(usable());
+}
+
+TEST_CASE_FIXTURE(Fixture, "the memory of upstreams that left is bounded, and keeps the latest") {
+  for (int Number = 0; Number < 5000; ++Number) {
+    const std::string Name = "u" + std::to_string(Number);
+    m_Now += milliseconds(1);
+    m_Pool.update(entry(Name), m_Now);
+    m_Pool.remove(UpstreamId(Name), m_Now, Duration::zero());
+  }
+  m_Pool.replaceAllAfterRestore({entry("u0"), entry("u4999")}, m_Now, Grace);
+  CHECK(m_Pool.usable(*m_Pool.find(UpstreamId("u0")), m_Now));
+  CHECK_FALSE(m_Pool.usable(*m_Pool.find(UpstreamId("u4999")), m_Now));
+}
