--- a/packages/forward/include/bulrushpitch/forward/forward.h
+++ b/packages/forward/include/bulrushpitch/forward/forward.h
@@ -10,9 +10,10 @@
 #include "bulrushpitch/forward/event_splitter.h"    // IWYU pragma: export
 #include "bulrushpitch/forward/model_choice.h"      // IWYU pragma: export
 #include "bulrushpitch/forward/objects.h"           // IWYU pragma: export
-#include "bulrushpitch/forward/placement.h"         // IWYU pragma: export
-#include "bulrushpitch/forward/rate_limiter.h"      // IWYU pragma: export
-#include "bulrushpitch/forward/upstream_pool.h"     // IWYU pragma: export
-#include "bulrushpitch/forward/version_trial.h"     // IWYU pragma: export
+#include "bulrushpitch/forward/out_of_service_domains.h"
+#include "bulrushpitch/forward/placement.h"     // IWYU pragma: export
+#include "bulrushpitch/forward/rate_limiter.h"  // IWYU pragma: export
+#include "bulrushpitch/forward/upstream_pool.h" // IWYU pragma: export
+#include "bulrushpitch/forward/version_trial.h" // IWYU pragma: export
 
 #endif // BULRUSHPITCH_FORWARD_FORWARD_H
