forward: evidence on crashes survives a restore of the store

What callers would see: after the store comes back from a copy some seconds old, evidence on crashes that was published since the copy is gone. The other way round, evidence that was withdrawn since the copy is there again: its own daemon adopts it as its own, and sound requests are rejected for up to ten minutes.

A row of its own that it has withdrawn is not adopted, and is withdrawn again. Not for its full ten minutes: a daemon whose withdrawal is in neither copy has no reason to withdraw again, and a sound part would be rejected all that time. Answers clear parts of kept evidence as of any other.

Evidence: with onStoreRestored() empty, as today, 7 of the 10 new tests fail, among them "after a restore of the store, evidence is published again: REQUIRE( Again ) is NOT correct!", "after a restore, withdrawn evidence in the copy is not adopted but withdrawn again: CHECK_FALSE( m_Quarantine.hasCrashes() ) is NOT correct!" and "the others' evidence that a restored store has lost is kept for a while: CHECK( quarantined(6000, parts({"bad"})) ) is NOT correct!".

--- a/packages/forward/include/bulrushpitch/forward/prompt_quarantine.h
+++ b/packages/forward/include/bulrushpitch/forward/prompt_quarantine.h
@@ -76,6 +76,16 @@
   void onAnswerBegun(const std::vector<PromptPartId> &Parts, TimePoint Now);
   /// @brief Takes what a daemon has published. What this daemon published before a restart counts again.
   void onEvidence(const std::vector<PromptEvidence> &Published, TimePoint Now);
+  /// @brief Takes a full snapshot of what the daemons have published. What the other daemons had published
+  /// before is dropped, except what a restored store may have lost.
+  void onSnapshot(const std::vector<PromptEvidence> &Published, TimePoint Now);
+  /// @brief The store was restored from an older copy. Call it before the first snapshot of the restored
+  /// store is taken, if a snapshot was taken before.
+  ///
+  /// This daemon's evidence is published again, and withdrawn again if the copy has what was withdrawn. The
+  /// evidence of each other daemon is kept until that daemon publishes or withdraws something, or until a
+  /// fixed time has passed in which it would have done so.
+  void onStoreRestored(TimePoint Now);
   /// @brief Drops what the other daemons have published, before a full snapshot of it is taken.
   void forgetOthers();
   /// @brief Drops evidence that has expired, and upstreams that broke a request off but have not crashed.
@@ -95,13 +105,14 @@
   /// @return whether a crash is known that has not expired
   bool hasCrashes() const;
   /// @return whether a crash is known that the daemon has published and that has not expired
-  bool hasCrashesOf(const InstanceId &Daemon) const { return m_Crashes.count(Daemon) > 0; }
+  bool hasCrashesOf(const InstanceId &Daemon) const;
 
 private:
   struct Crash : UpstreamCrash {
     bool m_Confirmed = false; ///< The upstream has sent nothing since.
   };
   using Crashes = std::map<UpstreamIncarnation, Crash>;
+  using CrashesByDaemon = std::map<InstanceId, Crashes>; ///< By the daemon that saw them.
   /// A response that this daemon dropped.
   struct DroppedResponse {
     UpstreamIncarnation m_Upstream;
@@ -122,15 +133,23 @@
   std::map<PromptPartId, Duration> soundParts(TimePoint Now, std::uint32_t Rank);
   std::set<PromptPartId> accusedSoundParts() const;
   void take(const PromptEvidence &Published, TimePoint Now);
+  void takeOwn(const PromptEvidence &Published, TimePoint Now);
+  void addCrashes(const PromptEvidence &Published, TimePoint Now);
+  void dropExpired(CrashesByDaemon &Known, const AliveHook &SeemsAlive, TimePoint Now) const;
+  void mergeInto(std::map<UpstreamIncarnation, UpstreamCrash> &Merged, const CrashesByDaemon &Known,
+                 bool Cleared) const;
   void forgetAnswers(TimePoint Now);
 
   InstanceId m_Own;
-  std::map<InstanceId, Crashes> m_Crashes;     ///< By the daemon that saw them.
+  CrashesByDaemon m_Crashes;
+  CrashesByDaemon m_KeptCrashes; ///< Published by others before a restore of the store, and not since.
+  TimePoint m_KeptUntil{};
   std::map<PromptPartId, TimePoint> m_BegunAt; ///< When an answer last began on the part.
   std::deque<DroppedResponse> m_Dropped;       ///< The latest ones, oldest first.
   std::map<PromptPartId, CrashBlame> m_Quarantined;
   PromptEvidence m_Published; ///< What the other daemons know.
   bool m_PublicationFailed = false;
+  bool m_KnowsOwnEvidence = false;                  ///< The store's row is not needed, as it was read before.
   std::map<PromptPartId, TimePoint> m_AccusedSince; ///< Sound parts that are accused.
   std::map<PromptPartId, TimePoint> m_ClearedBy;    ///< When another daemon saw an answer begin on the part.
 };
--- a/packages/forward/src/prompt_quarantine.cpp
+++ b/packages/forward/src/prompt_quarantine.cpp
@@ -22,6 +22,9 @@
 constexpr Duration ClearanceStagger = milliseconds(500);
 /// A part that another daemon cleared so shortly before it was accused here needs no second one.
 constexpr Duration ClearanceMemory = std::chrono::seconds(10);
+/// Within this time after a restore of the store, a daemon has learned of it, by the longest of its long
+/// polls of 15 s, and has published its evidence again.
+constexpr Duration RepublicationTime = std::chrono::seconds(30);
 /// Limits on memory and on the size of the published evidence.
 constexpr std::size_t MaxCrashesPerDaemon = 24;
 constexpr std::size_t MaxSuspectsPerCrash = 16;
@@ -98,10 +101,11 @@
 
 void PromptQuarantine::forgetAnswers(TimePoint Now) {
   std::set<PromptPartId> Named;
-  for (const auto &Daemon : m_Crashes)
-    for (const auto &Entry : Daemon.second)
-      for (const SuspectParts::value_type &Suspect : Entry.second.m_Suspects)
-        Named.insert(Suspect.first);
+  for (const CrashesByDaemon *Known : {&m_Crashes, &m_KeptCrashes})
+    for (const auto &Daemon : *Known)
+      for (const auto &Entry : Daemon.second)
+        for (const SuspectParts::value_type &Suspect : Entry.second.m_Suspects)
+          Named.insert(Suspect.first);
   // Answers on suspects are kept as long as the crashes: without them, a cleared part would be accused again.
   for (Duration Memory = UsedPartMemory; m_BegunAt.size() > MaxUsedParts && Memory > Duration::zero();
        Memory /= 2)
@@ -111,18 +115,56 @@
 }
 
 void PromptQuarantine::onEvidence(const std::vector<PromptEvidence> &Published, TimePoint Now) {
+  for (const PromptEvidence &Evidence : Published) {
+    m_KeptCrashes.erase(Evidence.m_Daemon);
+    take(Evidence, Now);
+  }
+  judge(Now);
+}
+
+void PromptQuarantine::onSnapshot(const std::vector<PromptEvidence> &Published, TimePoint Now) {
+  forgetOthers();
   for (const PromptEvidence &Evidence : Published)
     take(Evidence, Now);
   judge(Now);
 }
 
+void PromptQuarantine::onStoreRestored(TimePoint Now) {
+  for (auto &Daemon : m_Crashes) {
+    if (Daemon.first == m_Own)
+      continue;
+    Crashes &Kept = m_KeptCrashes[Daemon.first];
+    Daemon.second.merge(Kept);
+    Kept = std::move(Daemon.second);
+  }
+  forgetOthers();
+  m_KeptUntil = Now + RepublicationTime;
+  m_KnowsOwnEvidence = true;
+  m_PublicationFailed = m_PublicationFailed || !m_Published.empty();
+}
+
 void PromptQuarantine::take(const PromptEvidence &Published, TimePoint Now) {
-  const bool Own = Published.m_Daemon == m_Own;
+  if (Published.m_Daemon == m_Own) {
+    takeOwn(Published, Now);
+    return;
+  }
+  m_Crashes.erase(Published.m_Daemon);
+  addCrashes(Published, Now);
+  for (const std::pair<const PromptPartId, Duration> &Sound : Published.m_Sound)
+    m_ClearedBy[Sound.first] = std::max(m_ClearedBy[Sound.first], Now - Sound.second);
+}
+
+void PromptQuarantine::takeOwn(const PromptEvidence &Published, TimePoint Now) {
   // Since its first publication, this daemon knows its own evidence better than the store.
-  if (Own && !m_Published.empty())
+  if (!m_Published.empty())
     return;
-  if (!Own)
-    m_Crashes.erase(Published.m_Daemon);
+  if (!m_KnowsOwnEvidence)
+    addCrashes(Published, Now);
+  else if (Now < m_KeptUntil && !Published.empty())
+    m_PublicationFailed = true; // The copy has what was withdrawn since.
+}
+
+void PromptQuarantine::addCrashes(const PromptEvidence &Published, TimePoint Now) {
   for (const CrashEvidence &Seen : Published.m_Crashes) {
     if (Seen.m_Age >= EvidenceLifetime)
       continue;
@@ -134,8 +176,6 @@
   for (const std::pair<const PromptPartId, Duration> &Sound : Published.m_Sound) {
     TimePoint &Begun = m_BegunAt[Sound.first];
     Begun = std::max(Begun, Now - Sound.second);
-    if (!Own)
-      m_ClearedBy[Sound.first] = std::max(m_ClearedBy[Sound.first], Now - Sound.second);
   }
 }
 
@@ -144,7 +184,17 @@
 }
 
 void PromptQuarantine::update(const AliveHook &SeemsAlive, TimePoint Now) {
-  for (auto &Daemon : m_Crashes) {
+  if (Now >= m_KeptUntil)
+    m_KeptCrashes.clear();
+  dropExpired(m_Crashes, SeemsAlive, Now);
+  dropExpired(m_KeptCrashes, SeemsAlive, Now);
+  std::erase_if(m_ClearedBy, [Now](const auto &Entry) { return Now - Entry.second >= EvidenceLifetime; });
+  if (hasCrashes() || !m_Quarantined.empty())
+    judge(Now);
+}
+
+void PromptQuarantine::dropExpired(CrashesByDaemon &Known, const AliveHook &SeemsAlive, TimePoint Now) const {
+  for (auto &Daemon : Known) {
     std::erase_if(Daemon.second, [&](const auto &Entry) {
       const Crash &Record = Entry.second;
       const Duration Age = Now - Record.m_At;
@@ -153,13 +203,14 @@
     for (auto &Entry : Daemon.second)
       Entry.second.m_Confirmed = Entry.second.m_Confirmed || Now - Entry.second.m_At >= ConfirmationTime;
   }
-  std::erase_if(m_Crashes, [](const auto &Daemon) { return Daemon.second.empty(); });
-  std::erase_if(m_ClearedBy, [Now](const auto &Entry) { return Now - Entry.second >= EvidenceLifetime; });
-  if (!m_Crashes.empty() || !m_Quarantined.empty())
-    judge(Now);
+  std::erase_if(Known, [](const auto &Daemon) { return Daemon.second.empty(); });
 }
 
-bool PromptQuarantine::hasCrashes() const { return !m_Crashes.empty(); }
+bool PromptQuarantine::hasCrashes() const { return !m_Crashes.empty() || !m_KeptCrashes.empty(); }
+
+bool PromptQuarantine::hasCrashesOf(const InstanceId &Daemon) const {
+  return m_Crashes.count(Daemon) > 0 || m_KeptCrashes.count(Daemon) > 0;
+}
 
 bool PromptQuarantine::clearedSince(const PromptPartId &Part, TimePoint Time) const {
   const auto Begun = m_BegunAt.find(Part);
@@ -172,9 +223,9 @@
   return Suspects;
 }
 
-std::vector<UpstreamCrash> PromptQuarantine::mergedCrashes(bool Cleared) const {
-  std::map<UpstreamIncarnation, UpstreamCrash> Merged;
-  for (const auto &Daemon : m_Crashes) {
+void PromptQuarantine::mergeInto(std::map<UpstreamIncarnation, UpstreamCrash> &Merged,
+                                 const CrashesByDaemon &Known, bool Cleared) const {
+  for (const auto &Daemon : Known) {
     for (const auto &Entry : Daemon.second) {
       if (!Entry.second.m_Confirmed)
         continue;
@@ -185,6 +236,12 @@
         Record.m_Suspects.insert(Suspect);
     }
   }
+}
+
+std::vector<UpstreamCrash> PromptQuarantine::mergedCrashes(bool Cleared) const {
+  std::map<UpstreamIncarnation, UpstreamCrash> Merged;
+  mergeInto(Merged, m_Crashes, Cleared);
+  mergeInto(Merged, m_KeptCrashes, Cleared);
   std::vector<UpstreamCrash> Result;
   Result.reserve(Merged.size());
   for (auto &Entry : Merged)
@@ -247,7 +304,7 @@
 std::optional<PromptEvidence> PromptQuarantine::takeUnpublished(TimePoint Now, std::uint32_t Rank) {
   PromptEvidence Evidence;
   Evidence.m_Daemon = m_Own;
-  if (!m_Crashes.empty())
+  if (hasCrashes())
     Evidence.m_Sound = soundParts(Now, Rank);
   const auto Own = m_Crashes.find(m_Own);
   if (Own != m_Crashes.end()) {
--- a/packages/forward/tests/prompt_quarantine_test.cpp
+++ b/packages/forward/tests/prompt_quarantine_test.cpp
@@ -270,6 +270,138 @@
 
 namespace {
 
+/// What a daemon has published about crashes of these upstreams, with the parts "a" and "bad".
+PromptEvidence evidenceOf(const std::string &Daemon, const std::vector<int> &Upstreams) {
+  PromptEvidence Evidence;
+  Evidence.m_Daemon = InstanceId(Daemon);
+  for (const int Number : Upstreams)
+    Evidence.m_Crashes.push_back(
+        {upstream(Number), seconds(Number), {{PromptPartId("a"), 0}, {PromptPartId("bad"), 1}}});
+  return Evidence;
+}
+
+} // namespace
+
+// Guards against evidence that is lost with the store, because its daemon takes it for published.
+TEST_CASE_FIXTURE(Fixture, "after a restore of the store, evidence is published again") {
+  for (int Number = 1; Number <= 2; ++Number)
+    crash(Number * 1000, Number, parts({"a", "bad"}));
+  m_Quarantine.update(neverAlive, at(4000));
+  REQUIRE(m_Quarantine.takeUnpublished(at(4000), 0));
+  REQUIRE_FALSE(m_Quarantine.takeUnpublished(at(5000), 0));
+  m_Quarantine.onStoreRestored(at(6000));
+  m_Quarantine.onSnapshot({}, at(6000));
+  const std::optional<PromptEvidence> Again = m_Quarantine.takeUnpublished(at(6000), 0);
+  REQUIRE(Again);
+  CHECK(Again->m_Crashes.size() == 2);
+  CHECK_FALSE(m_Quarantine.takeUnpublished(at(7000), 0));
+}
+
+// Guards against a quarantine of a sound part by evidence that was withdrawn since the copy.
+TEST_CASE_FIXTURE(Fixture,
+                  "after a restore, withdrawn evidence in the copy is not adopted but withdrawn again") {
+  m_Quarantine.onSnapshot({}, at(0));
+  for (int Number = 1; Number <= 2; ++Number)
+    crash(Number * 1000, Number, parts({"a", "bad"}));
+  m_Quarantine.update(neverAlive, at(4000));
+  REQUIRE(m_Quarantine.takeUnpublished(at(4000), 0));
+  m_Quarantine.update([](const UpstreamIncarnation &, TimePoint) { return true; }, at(5000));
+  REQUIRE(m_Quarantine.takeUnpublished(at(5000), 0)->empty());
+  m_Quarantine.onStoreRestored(at(6000));
+  m_Quarantine.onSnapshot({evidenceOf("d0", {1, 2})}, at(6000));
+  CHECK_FALSE(m_Quarantine.find(parts({"bad"}), at(6000)));
+  CHECK_FALSE(m_Quarantine.hasCrashes());
+  const std::optional<PromptEvidence> Withdrawal = m_Quarantine.takeUnpublished(at(6100), 0);
+  REQUIRE(Withdrawal);
+  CHECK(Withdrawal->empty());
+  m_Quarantine.onEvidence({evidenceOf("d0", {})}, at(7000));
+  CHECK_FALSE(m_Quarantine.takeUnpublished(at(7000), 0));
+}
+
+// Guards against a write of each daemon of a large deployment after each restore.
+TEST_CASE_FIXTURE(Fixture, "after a restore, a daemon without evidence writes nothing") {
+  m_Quarantine.onSnapshot({}, at(0));
+  m_Quarantine.onStoreRestored(at(6000));
+  m_Quarantine.onSnapshot({evidenceOf("d1", {1})}, at(6000));
+  CHECK_FALSE(m_Quarantine.takeUnpublished(at(6000), 0));
+}
+
+// Guards against requests that crash upstreams again, because the evidence on them is not in the copy.
+TEST_CASE_FIXTURE(Fixture, "the others' evidence that a restored store has lost is kept for a while") {
+  m_Quarantine.onSnapshot({evidenceOf("d1", {1}), evidenceOf("d2", {2, 3})}, at(0));
+  REQUIRE(quarantined(0, parts({"bad"})));
+  m_Quarantine.onStoreRestored(at(6000));
+  m_Quarantine.onSnapshot({evidenceOf("d1", {1})}, at(6000));
+  CHECK(quarantined(6000, parts({"bad"})));
+  CHECK(m_Quarantine.hasCrashesOf(InstanceId("d2")));
+  CHECK(quarantined(35'900, parts({"bad"})));
+  CHECK_FALSE(quarantined(36'000, parts({"bad"})));
+  CHECK_FALSE(m_Quarantine.hasCrashesOf(InstanceId("d2")));
+  CHECK(m_Quarantine.hasCrashesOf(InstanceId("d1")));
+}
+
+TEST_CASE_FIXTURE(Fixture, "evidence that is published again after a restore counts as any other") {
+  m_Quarantine.onSnapshot({evidenceOf("d2", {2, 3})}, at(0));
+  m_Quarantine.onStoreRestored(at(6000));
+  m_Quarantine.onSnapshot({}, at(6000));
+  m_Quarantine.onEvidence({evidenceOf("d2", {2, 3})}, at(7000));
+  CHECK(quarantined(60'000, parts({"bad"})));
+  CHECK(m_Quarantine.find(parts({"bad"}), at(60'000))->m_Crashes == 2);
+}
+
+// Guards against a quarantine that outlasts its evidence after a restore.
+TEST_CASE_FIXTURE(Fixture, "evidence that is withdrawn after a restore no longer counts") {
+  m_Quarantine.onSnapshot({evidenceOf("d2", {2, 3})}, at(0));
+  m_Quarantine.onStoreRestored(at(6000));
+  m_Quarantine.onSnapshot({evidenceOf("d2", {2})}, at(6000));
+  CHECK(quarantined(6000, parts({"bad"})));
+  m_Quarantine.onEvidence({evidenceOf("d2", {})}, at(7000));
+  CHECK_FALSE(quarantined(7000, parts({"bad"})));
+  CHECK_FALSE(m_Quarantine.hasCrashes());
+}
+
+// Guards against the loss of kept evidence when the store loses its history soon after a restore.
+TEST_CASE_FIXTURE(Fixture, "an ordinary snapshot after a restore does not drop the evidence that is kept") {
+  m_Quarantine.onSnapshot({evidenceOf("d2", {2, 3})}, at(0));
+  m_Quarantine.onStoreRestored(at(6000));
+  m_Quarantine.onSnapshot({}, at(6000));
+  m_Quarantine.onSnapshot({}, at(8000));
+  CHECK(quarantined(8000, parts({"bad"})));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a second restore of the store keeps the evidence of both times") {
+  m_Quarantine.onSnapshot({evidenceOf("d2", {2})}, at(0));
+  m_Quarantine.onStoreRestored(at(6000));
+  m_Quarantine.onSnapshot({evidenceOf("d2", {3})}, at(6000));
+  m_Quarantine.onStoreRestored(at(12'000));
+  m_Quarantine.onSnapshot({}, at(12'000));
+  CHECK(quarantined(41'900, parts({"bad"})));
+  CHECK_FALSE(quarantined(42'000, parts({"bad"})));
+}
+
+TEST_CASE_FIXTURE(Fixture, "an answer that begins on a part ends its quarantine by kept evidence") {
+  m_Quarantine.onSnapshot({evidenceOf("d2", {2, 3})}, at(0));
+  m_Quarantine.onStoreRestored(at(6000));
+  m_Quarantine.onSnapshot({}, at(6000));
+  REQUIRE(quarantined(6000, parts({"bad"})));
+  m_Quarantine.onAnswerBegun(parts({"a", "bad"}), at(6100));
+  CHECK_FALSE(quarantined(6200, parts({"bad"})));
+}
+
+// Guards against the loss of a daemon's evidence when the store is restored soon after the daemon's restart.
+TEST_CASE("evidence adopted at the start is published again when the store is restored") {
+  PromptQuarantine After{InstanceId("d1")};
+  After.onSnapshot({evidenceOf("d1", {1, 2})}, at(5000));
+  CHECK(After.find(parts({"b", "bad"}), at(5000)));
+  After.onStoreRestored(at(6000));
+  After.onSnapshot({}, at(6000));
+  const std::optional<PromptEvidence> Again = After.takeUnpublished(at(6100), 0);
+  REQUIRE(Again);
+  CHECK(Again->m_Crashes.size() == 2);
+}
+
+namespace {
+
 /// Daemons and upstreams under random traffic, in which requests with one part crash their upstreams.
 class Simulation {
 public:
