--- a/packages/forward/tests/daemon_membership_test.cpp
+++ b/packages/forward/tests/daemon_membership_test.cpp
@@ -131,3 +131,33 @@
   Daemons.update({{First, 9}}, Start + seconds(110));
   CHECK(Daemons.alive(Start + seconds(110)) == std::vector<InstanceId>{First});
 }
+
+TEST_CASE(
+    "a daemon whose row is removed after a restore is no longer tracked, unlike one whose row was lost") {
+  DaemonMembership Daemons;
+  const TimePoint Start{seconds(1000)};
+  Daemons.update({{First, 5}, {Second, 6}}, Start);
+  Daemons.updateAfterRestore({{First, 5}}, Start + seconds(10));
+  Daemons.update({}, Start + seconds(20));
+  CHECK(Daemons.alive(Start + seconds(20)) == std::vector<InstanceId>{Second});
+}
+
+// Guards against a removal of a row with the version that it had before a restore.
+TEST_CASE("a daemon whose row a restored store has lost has no row to remove when it expires") {
+  DaemonMembership Daemons;
+  const TimePoint Start{seconds(1000)};
+  Daemons.update({{First, 5}, {Second, 6}}, Start);
+  Daemons.updateAfterRestore({{First, 5}}, Start);
+  const std::vector<ListedDaemon> Expired = Daemons.expired(Start + seconds(100));
+  REQUIRE(Expired.size() == 1);
+  CHECK(Expired.front().m_Id == First);
+}
+
+// Guards against a daemon that is gone and counts again because the store was restored.
+TEST_CASE("a daemon that had expired is not counted after a restore that has lost its row") {
+  DaemonMembership Daemons;
+  const TimePoint Start{seconds(1000)};
+  Daemons.update({{First, 5}}, Start);
+  Daemons.updateAfterRestore({}, Start + seconds(100));
+  CHECK(Daemons.alive(Start + seconds(100)).empty());
+}
--- a/packages/forward/tests/prompt_quarantine_test.cpp
+++ b/packages/forward/tests/prompt_quarantine_test.cpp
@@ -318,6 +318,15 @@
   CHECK_FALSE(m_Quarantine.takeUnpublished(at(7000), 0));
 }
 
+// Guards against a write for each row of this daemon that is read late.
+TEST_CASE_FIXTURE(Fixture, "long after a restore, an own row of before a withdrawal is not withdrawn again") {
+  m_Quarantine.onStoreRestored(at(0));
+  m_Quarantine.onSnapshot({}, at(0));
+  m_Quarantine.onEvidence({evidenceOf("d0", {1})}, at(30'000));
+  CHECK_FALSE(m_Quarantine.takeUnpublished(at(30'000), 0));
+  CHECK_FALSE(m_Quarantine.hasCrashes());
+}
+
 // Guards against a write of each daemon of a large deployment after each restore.
 TEST_CASE_FIXTURE(Fixture, "after a restore, a daemon without evidence writes nothing") {
   m_Quarantine.onSnapshot({}, at(0));
--- a/packages/forward/tests/upstream_pool_test.cpp
+++ b/packages/forward/tests/upstream_pool_test.cpp
@@ -238,6 +238,41 @@
   CHECK_FALSE(m_Pool.find(m_Id));
 }
 
+TEST_CASE_FIXTURE(Fixture, "an upstream whose grace period had expired is held like one that had left") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, Grace);
+  m_Now += Grace;
+  m_Pool.expire(m_Now);
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  CHECK_FALSE(usable());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a second restore begins the hold of an upstream that had left anew") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, Duration::zero());
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  m_Now += milliseconds(9000);
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  m_Now += milliseconds(9000);
+  CHECK_FALSE(usable());
+  m_Now += milliseconds(1000);
+  CHECK(usable());
+}
+
+TEST_CASE_FIXTURE(Fixture, "an earlier incarnation of an upstream that had left since the copy is held") {
+  m_Pool.update(restartedEntry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, Duration::zero());
+  m_Pool.replaceAllAfterRestore({entry("a")}, m_Now, Grace);
+  CHECK_FALSE(usable());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a later incarnation of an upstream that had left is used at once") {
+  m_Pool.update(entry("a"), m_Now);
+  m_Pool.remove(m_Id, m_Now, Duration::zero());
+  m_Pool.replaceAllAfterRestore({restartedEntry("a")}, m_Now, Grace);
+  CHECK(usable());
+}
+
 TEST_CASE_FIXTURE(Fixture, "a restore does not hold upstreams that left long ago or that were never known") {
   m_Pool.update(entry("a"), m_Now);
   m_Pool.remove(m_Id, m_Now, Duration::zero());
