gateway: the rollouts in a class of their own

ControlService held both the watching of the tables and all the work on rollouts. The latter moves to RolloutCoordinator (src/), with its dependencies through the constructor; outcomeText(), which both use, to a header of its own. No change of behaviour.

Evidence: the gateway's tests pass unchanged (74 cases, 359 assertions).

--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -1,5 +1,8 @@
 #include "bulrushpitch/gateway/control_service.h"
 
+#include "outcome_text.h"
+#include "rollout_coordinator.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -40,26 +43,9 @@
 constexpr std::string_view PartClearanceKey = "part clearance";
 /// Interval of onTick(), and of the checks whether rollout statuses and evidence have to be watched.
 constexpr Duration TickInterval = milliseconds(200);
-/// Delay per rank before a daemon writes a rollout status, so that usually only the first one calls the
-/// store.
-constexpr Duration TrialWriteStagger = milliseconds(350);
-constexpr Duration TrialWriteRetryInterval = milliseconds(700);
-constexpr Duration EvidencePublishInterval = milliseconds(800);
 /// Batches the evidence of several daemons into one call.
 constexpr Duration EvidenceWatchInterval = milliseconds(300);
 
-std::string_view nameOf(TrialState State) {
-  switch (State) {
-  case TrialState::Running:
-    return "running";
-  case TrialState::Completed:
-    return "completed";
-  case TrialState::RolledBack:
-    return "rolled back";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 class ControlService::Impl : public std::enable_shared_from_this<ControlService::Impl> {
@@ -68,6 +54,7 @@
        RandomHook Random, ConfigHook OnConfig)
       : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)),
         m_Random(std::move(Random)), m_OnConfig(std::move(OnConfig)),
+        m_Rollouts(std::make_shared<RolloutCoordinator>(Context, Store, State, Log, m_Clock)),
         m_Ticker(
             Context, [] { return TickInterval; }, [this] { onTick(); }) {}
 
@@ -142,11 +129,11 @@
     Table.m_Feed = {"trials", TrialStatusWatchInterval};
     Table.m_Read = &ControlStore::readTrials;
     Table.m_Watch = &ControlStore::watchTrials;
-    Table.m_Apply = [this](const Feed &, const TrialChanges &Changes) { apply(Changes); };
+    Table.m_Apply = [this](const Feed &, const TrialChanges &Changes) { m_Rollouts->apply(Changes); };
     Table.m_Prepare = [this](Feed &Trials) {
-      if (std::exchange(m_TrialSnapshotNeeded, false))
+      if (m_Rollouts->takeStatusSnapshotNeeded())
         Trials.m_Cursor.reset();
-      return anyTrialRuns();
+      return m_Rollouts->anyTrialRuns();
     };
     return Table;
   }
@@ -157,8 +144,8 @@
     Table.m_Feed = {"evidence", EvidenceWatchInterval};
     Table.m_Read = &ControlStore::readEvidence;
     Table.m_Watch = &ControlStore::watchEvidence;
-    Table.m_Apply = [this](const Feed &, const EvidenceChanges &Changes) { apply(Changes); };
-    Table.m_Prepare = [this](Feed &) { return needsEvidence(); };
+    Table.m_Apply = [this](const Feed &, const EvidenceChanges &Changes) { m_Rollouts->apply(Changes); };
+    Table.m_Prepare = [this](Feed &) { return m_Rollouts->needsEvidence(); };
     return Table;
   }
 
@@ -251,11 +238,6 @@
     }
   }
 
-  /// Text of an outcome for the log: what was done, or the error.
-  static std::string outcomeText(const Expected<Done> &Outcome, std::string_view DoneText) {
-    return Outcome ? std::string(DoneText) : Outcome.error().toString();
-  }
-
   template <typename Value> void logFailure(std::string_view Event, const Expected<Value> &Outcome) {
     if (Outcome)
       return;
@@ -302,9 +284,9 @@
     }
     m_State.m_Pool.setDomainsOut(Out, m_Clock());
     for (const TrialOrder &Order : Changes.m_Trials)
-      applyTrialOrder(Order);
+      m_Rollouts->applyOrder(Order);
     for (const ServiceId &Service : Changes.m_TrialsWithdrawn)
-      m_State.m_Trials.erase(Service);
+      m_Rollouts->withdrawOrder(Service);
   }
 
   void applyConfig(const OrderChanges &Changes) {
@@ -321,26 +303,6 @@
     m_OnConfig(m_State.m_ConfigIndex->config());
   }
 
-  void applyTrialOrder(const TrialOrder &Order) {
-    const VersionTrial *Existing = m_State.trialOf(Order.m_Service);
-    if (Existing && Existing->order().m_OrderVersion == Order.m_OrderVersion)
-      return;
-    m_State.m_Trials.erase(Order.m_Service);
-    m_State.m_Trials.emplace(Order.m_Service, VersionTrial(Order, m_State.trialExposure(), m_Clock()));
-    m_TrialsWithStatus.erase(Order.m_Service);
-    m_TrialSnapshotNeeded = true;
-    m_Log.add(LogClass::State, "rollout_ordered",
-              {{"service", std::string_view(Order.m_Service.value())},
-               {"to", std::string_view(Order.m_TargetVersion.value())},
-               {"time_limit_s", std::chrono::duration<double>(Order.m_TimeLimit).count()}});
-  }
-
-  void recordTrialUpstream(const RegisteredUpstream &Entry, TimePoint Now) {
-    VersionTrial *Trial = m_State.trialOf(Entry.m_Service);
-    if (Trial && Entry.m_Version == Trial->order().m_TargetVersion)
-      Trial->onUpstreamRegistered(Now);
-  }
-
   void apply(const UpstreamChanges &Changes) {
     const TimePoint Now = m_Clock();
     const Duration Grace = m_RegistryRecoveredAt && Now - *m_RegistryRecoveredAt < EntryGracePeriod
@@ -349,13 +311,13 @@
     if (Changes.m_FullSnapshot) {
       m_State.m_Pool.replaceAll(Changes.m_Updated, Now, Grace);
       for (const RegisteredUpstream &Entry : Changes.m_Updated)
-        recordTrialUpstream(Entry, Now);
+        m_Rollouts->recordUpstream(Entry, Now);
       m_State.m_RegistryRead = true;
       return;
     }
     for (const RegisteredUpstream &Entry : Changes.m_Updated) {
       m_State.m_Pool.update(Entry, Now);
-      recordTrialUpstream(Entry, Now);
+      m_Rollouts->recordUpstream(Entry, Now);
       m_Log.add(LogClass::State, "upstream_changed",
                 {{"upstream", std::string_view(Entry.m_Id.value())},
                  {"service", std::string_view(Entry.m_Service.value())},
@@ -372,38 +334,6 @@
     }
   }
 
-  void apply(const TrialChanges &Changes) {
-    for (const TrialStatus &Status : Changes.m_Updated) {
-      VersionTrial *Trial = m_State.trialOf(Status.m_Service);
-      m_StatusRowVersions[Status.m_Service] = Status.m_RowVersion;
-      // A status older than the order belongs to an earlier rollout.
-      if (!Trial || Status.m_TargetVersion != Trial->order().m_TargetVersion ||
-          Status.m_RowVersion < Trial->order().m_OrderVersion)
-        continue;
-      m_TrialsWithStatus.insert(Status.m_Service);
-      if (Trial->state() == Status.m_State)
-        continue;
-      Trial->setState(Status.m_State);
-      m_Log.add(LogClass::State, "rollout_decided",
-                {{"service", std::string_view(Status.m_Service.value())},
-                 {"to", std::string_view(Status.m_TargetVersion.value())},
-                 {"state", nameOf(Status.m_State)}});
-    }
-    if (!Changes.m_FullSnapshot || m_TrialSnapshotNeeded)
-      return;
-    for (auto &Entry : m_State.m_Trials)
-      Entry.second.confirmDecisionsRead();
-  }
-
-  void apply(const EvidenceChanges &Changes) {
-    for (const TrialEvidence &Evidence : Changes.m_Updated) {
-      VersionTrial *Trial = m_State.trialOf(Evidence.m_Service);
-      if (Trial && Evidence.m_OrderVersion == Trial->order().m_OrderVersion &&
-          Evidence.m_Daemon != m_State.m_PlacementContext.m_Instance)
-        Trial->onPeerEvidence(Evidence.m_Daemon, Evidence.m_Routes, m_Clock());
-    }
-  }
-
   void apply(const PromptEvidenceChanges &Changes) {
     if (Changes.m_FullSnapshot)
       m_State.m_PromptQuarantine.forgetOthers();
@@ -417,25 +347,10 @@
       Self->apply(*Read);
   }
 
-  bool needsEvidence() const {
-    return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(), [this](const auto &Entry) {
-      return Entry.second.state() == TrialState::Running && Entry.second.hasResponses() &&
-             trialRole(Entry.first, m_State.m_PlacementContext).m_Decides;
-    });
-  }
-
-  bool anyTrialRuns() const {
-    return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(),
-                       [](const auto &Entry) { return Entry.second.state() == TrialState::Running; });
-  }
-
   void onTick() {
     m_State.m_Pool.expire(m_Clock());
     m_Log.flush();
-    for (auto &Entry : m_State.m_Trials) {
-      writeTrialStatusIfDue(Entry.first, Entry.second);
-      publishEvidence(Entry.first, Entry.second);
-    }
+    m_Rollouts->onTick();
     m_State.m_PromptQuarantine.update(
         [this](const UpstreamIncarnation &Upstream, TimePoint After) {
           return m_State.m_Pool.survived(Upstream.m_Id, Upstream.m_StartedAt, After);
@@ -487,75 +402,6 @@
                      {"outcome", std::string_view(Outcome)}});
   }
 
-  void writeTrialStatusIfDue(const ServiceId &Service, const VersionTrial &Trial) {
-    if (Trial.state() != TrialState::Running || m_TrialSnapshotNeeded || m_TrialWriteInProgress)
-      return;
-    const TimePoint Now = m_Clock();
-    const TrialState Verdict = Trial.verdict(Now);
-    if (Verdict == TrialState::Running && m_TrialsWithStatus.count(Service) > 0) {
-      m_TrialWriteDueSince.erase(Service);
-      return;
-    }
-    const TimePoint DueSince = m_TrialWriteDueSince.emplace(Service, Now).first->second;
-    const bool Urgent = Verdict == TrialState::RolledBack && Trial.hasRollbackEvidence();
-    if (!Urgent &&
-        Now - DueSince < TrialWriteStagger * daemonRank(Service.value(), m_State.m_PlacementContext))
-      return;
-    if (Now < m_NextTrialWriteAt)
-      return;
-    m_TrialWriteInProgress = true;
-    spawn(m_Context, writeTrialStatus(shared_from_this(),
-                                      TrialStatus{Service, Trial.order().m_TargetVersion, Verdict,
-                                                  m_StatusRowVersions[Service]},
-                                      Trial.evidence()));
-  }
-
-  void publishEvidence(const ServiceId &Service, VersionTrial &Trial) {
-    const TimePoint Now = m_Clock();
-    if (Trial.state() != TrialState::Running || Now < m_NextEvidenceAt)
-      return;
-    std::optional<std::vector<RouteEvidence>> Routes = Trial.takeUnpublishedEvidence(Now);
-    if (!Routes)
-      return;
-    m_NextEvidenceAt = Now + EvidencePublishInterval;
-    TrialEvidence Evidence{Service, Trial.order().m_TargetVersion, Trial.order().m_OrderVersion,
-                           m_State.m_PlacementContext.m_Instance, std::move(*Routes)};
-    spawn(m_Context, writeEvidence(shared_from_this(), std::move(Evidence),
-                                   trialRole(Service, m_State.m_PlacementContext).m_Rank));
-  }
-
-  static asio::awaitable<void> writeEvidence(std::shared_ptr<Impl> Self, TrialEvidence Evidence,
-                                             std::uint32_t Rank) {
-    const Expected<Done> Written = co_await Self->m_Store.writeEvidence(Evidence, Rank);
-    const std::string Outcome = outcomeText(Written, "written");
-    for (const RouteEvidence &Route : Evidence.m_Routes)
-      Self->m_Log.add(LogClass::State, "rollout_evidence",
-                      {{"service", std::string_view(Evidence.m_Service.value())},
-                       {"route", std::string_view(Route.m_Route)},
-                       {"evidence", Route.m_Evidence},
-                       {"answers", static_cast<std::int64_t>(Route.m_Responses)},
-                       {"bad", static_cast<std::int64_t>(Route.m_Bad)},
-                       {"outcome", std::string_view(Outcome)}});
-  }
-
-  static asio::awaitable<void> writeTrialStatus(std::shared_ptr<Impl> Self, TrialStatus Status,
-                                                double Evidence) {
-    Expected<Done> Written = co_await Self->m_Store.writeTrial(Status);
-    Self->m_TrialWriteInProgress = false;
-    Self->m_NextTrialWriteAt = Self->m_Clock() + TrialWriteRetryInterval;
-    const std::string Outcome = outcomeText(Written, "written");
-    Self->m_Log.add(LogClass::State, "rollout_state_write",
-                    {{"service", std::string_view(Status.m_Service.value())},
-                     {"state", nameOf(Status.m_State)},
-                     {"evidence", Evidence},
-                     {"outcome", std::string_view(Outcome)}});
-    VersionTrial *Trial = Self->m_State.trialOf(Status.m_Service);
-    if (Written && Trial && Trial->order().m_TargetVersion == Status.m_TargetVersion) {
-      Trial->setState(Status.m_State);
-      Self->m_TrialsWithStatus.insert(Status.m_Service);
-    }
-  }
-
   asio::io_context &m_Context;
   ControlStore &m_Store;
   GatewayState &m_State;
@@ -563,21 +409,13 @@
   ClockHook m_Clock;
   RandomHook m_Random;
   ConfigHook m_OnConfig;
+  std::shared_ptr<RolloutCoordinator> m_Rollouts;
   Ticker m_Ticker;
   bool m_Stopped = false;
   std::optional<TimePoint> m_RegistryRecoveredAt;
-  /// Read all rollout statuses again. Set by a new order, as its status may have been read and ignored before
-  /// the order was known.
-  bool m_TrialSnapshotNeeded = true;
-  bool m_TrialWriteInProgress = false;
-  TimePoint m_NextTrialWriteAt{};
-  TimePoint m_NextEvidenceAt{};
   bool m_CrashWriteInProgress = false;
   TimePoint m_NextCrashWriteAt{};
   std::set<PromptPartId> m_LoggedQuarantine;
-  std::set<ServiceId> m_TrialsWithStatus; ///< Services whose current rollout has a status in the store.
-  std::map<ServiceId, TimePoint> m_TrialWriteDueSince;
-  std::map<ServiceId, std::uint64_t> m_StatusRowVersions;
 };
 
 ControlService::ControlService(asio::io_context &Context, ControlStore &Store, GatewayState &State,
--- /dev/null
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -0,0 +1,182 @@
+#include "rollout_coordinator.h"
+
+#include "outcome_text.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushpitch {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Delay per rank before a daemon writes a rollout status, so that usually only the first one calls the
+/// store.
+constexpr Duration TrialWriteStagger = milliseconds(350);
+constexpr Duration TrialWriteRetryInterval = milliseconds(700);
+constexpr Duration EvidencePublishInterval = milliseconds(800);
+
+std::string_view nameOf(TrialState State) {
+  switch (State) {
+  case TrialState::Running:
+    return "running";
+  case TrialState::Completed:
+    return "completed";
+  case TrialState::RolledBack:
+    return "rolled back";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+RolloutCoordinator::RolloutCoordinator(asio::io_context &Context, ControlStore &Store, GatewayState &State,
+                                       EventLog &Log, ClockHook Clock)
+    : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)) {}
+
+void RolloutCoordinator::applyOrder(const TrialOrder &Order) {
+  const VersionTrial *Existing = m_State.trialOf(Order.m_Service);
+  if (Existing && Existing->order().m_OrderVersion == Order.m_OrderVersion)
+    return;
+  m_State.m_Trials.erase(Order.m_Service);
+  m_State.m_Trials.emplace(Order.m_Service, VersionTrial(Order, m_State.trialExposure(), m_Clock()));
+  m_TrialsWithStatus.erase(Order.m_Service);
+  m_TrialSnapshotNeeded = true;
+  m_Log.add(LogClass::State, "rollout_ordered",
+            {{"service", std::string_view(Order.m_Service.value())},
+             {"to", std::string_view(Order.m_TargetVersion.value())},
+             {"time_limit_s", std::chrono::duration<double>(Order.m_TimeLimit).count()}});
+}
+
+void RolloutCoordinator::withdrawOrder(const ServiceId &Service) { m_State.m_Trials.erase(Service); }
+
+void RolloutCoordinator::recordUpstream(const RegisteredUpstream &Entry, TimePoint Now) {
+  VersionTrial *Trial = m_State.trialOf(Entry.m_Service);
+  if (Trial && Entry.m_Version == Trial->order().m_TargetVersion)
+    Trial->onUpstreamRegistered(Now);
+}
+
+void RolloutCoordinator::apply(const TrialChanges &Changes) {
+  for (const TrialStatus &Status : Changes.m_Updated) {
+    VersionTrial *Trial = m_State.trialOf(Status.m_Service);
+    m_StatusRowVersions[Status.m_Service] = Status.m_RowVersion;
+    // A status older than the order belongs to an earlier rollout.
+    if (!Trial || Status.m_TargetVersion != Trial->order().m_TargetVersion ||
+        Status.m_RowVersion < Trial->order().m_OrderVersion)
+      continue;
+    m_TrialsWithStatus.insert(Status.m_Service);
+    if (Trial->state() == Status.m_State)
+      continue;
+    Trial->setState(Status.m_State);
+    m_Log.add(LogClass::State, "rollout_decided",
+              {{"service", std::string_view(Status.m_Service.value())},
+               {"to", std::string_view(Status.m_TargetVersion.value())},
+               {"state", nameOf(Status.m_State)}});
+  }
+  if (!Changes.m_FullSnapshot || m_TrialSnapshotNeeded)
+    return;
+  for (auto &Entry : m_State.m_Trials)
+    Entry.second.confirmDecisionsRead();
+}
+
+void RolloutCoordinator::apply(const EvidenceChanges &Changes) {
+  for (const TrialEvidence &Evidence : Changes.m_Updated) {
+    VersionTrial *Trial = m_State.trialOf(Evidence.m_Service);
+    if (Trial && Evidence.m_OrderVersion == Trial->order().m_OrderVersion &&
+        Evidence.m_Daemon != m_State.m_PlacementContext.m_Instance)
+      Trial->onPeerEvidence(Evidence.m_Daemon, Evidence.m_Routes, m_Clock());
+  }
+}
+
+bool RolloutCoordinator::takeStatusSnapshotNeeded() { return std::exchange(m_TrialSnapshotNeeded, false); }
+
+bool RolloutCoordinator::needsEvidence() const {
+  return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(), [this](const auto &Entry) {
+    return Entry.second.state() == TrialState::Running && Entry.second.hasResponses() &&
+           trialRole(Entry.first, m_State.m_PlacementContext).m_Decides;
+  });
+}
+
+bool RolloutCoordinator::anyTrialRuns() const {
+  return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(),
+                     [](const auto &Entry) { return Entry.second.state() == TrialState::Running; });
+}
+
+void RolloutCoordinator::onTick() {
+  for (auto &Entry : m_State.m_Trials) {
+    writeStatusIfDue(Entry.first, Entry.second);
+    publishEvidence(Entry.first, Entry.second);
+  }
+}
+
+void RolloutCoordinator::writeStatusIfDue(const ServiceId &Service, const VersionTrial &Trial) {
+  if (Trial.state() != TrialState::Running || m_TrialSnapshotNeeded || m_TrialWriteInProgress)
+    return;
+  const TimePoint Now = m_Clock();
+  const TrialState Verdict = Trial.verdict(Now);
+  if (Verdict == TrialState::Running && m_TrialsWithStatus.count(Service) > 0) {
+    m_TrialWriteDueSince.erase(Service);
+    return;
+  }
+  const TimePoint DueSince = m_TrialWriteDueSince.emplace(Service, Now).first->second;
+  const bool Urgent = Verdict == TrialState::RolledBack && Trial.hasRollbackEvidence();
+  if (!Urgent && Now - DueSince < TrialWriteStagger * daemonRank(Service.value(), m_State.m_PlacementContext))
+    return;
+  if (Now < m_NextTrialWriteAt)
+    return;
+  m_TrialWriteInProgress = true;
+  spawn(m_Context, writeStatus(shared_from_this(),
+                               TrialStatus{Service, Trial.order().m_TargetVersion, Verdict,
+                                           m_StatusRowVersions[Service]},
+                               Trial.evidence()));
+}
+
+void RolloutCoordinator::publishEvidence(const ServiceId &Service, VersionTrial &Trial) {
+  const TimePoint Now = m_Clock();
+  if (Trial.state() != TrialState::Running || Now < m_NextEvidenceAt)
+    return;
+  std::optional<std::vector<RouteEvidence>> Routes = Trial.takeUnpublishedEvidence(Now);
+  if (!Routes)
+    return;
+  m_NextEvidenceAt = Now + EvidencePublishInterval;
+  TrialEvidence Evidence{Service, Trial.order().m_TargetVersion, Trial.order().m_OrderVersion,
+                         m_State.m_PlacementContext.m_Instance, std::move(*Routes)};
+  spawn(m_Context, writeEvidence(shared_from_this(), std::move(Evidence),
+                                 trialRole(Service, m_State.m_PlacementContext).m_Rank));
+}
+
+asio::awaitable<void> RolloutCoordinator::writeEvidence(std::shared_ptr<RolloutCoordinator> Self,
+                                                        TrialEvidence Evidence, std::uint32_t Rank) {
+  const Expected<Done> Written = co_await Self->m_Store.writeEvidence(Evidence, Rank);
+  const std::string Outcome = outcomeText(Written, "written");
+  for (const RouteEvidence &Route : Evidence.m_Routes)
+    Self->m_Log.add(LogClass::State, "rollout_evidence",
+                    {{"service", std::string_view(Evidence.m_Service.value())},
+                     {"route", std::string_view(Route.m_Route)},
+                     {"evidence", Route.m_Evidence},
+                     {"answers", static_cast<std::int64_t>(Route.m_Responses)},
+                     {"bad", static_cast<std::int64_t>(Route.m_Bad)},
+                     {"outcome", std::string_view(Outcome)}});
+}
+
+asio::awaitable<void> RolloutCoordinator::writeStatus(std::shared_ptr<RolloutCoordinator> Self,
+                                                      TrialStatus Status, double Evidence) {
+  Expected<Done> Written = co_await Self->m_Store.writeTrial(Status);
+  Self->m_TrialWriteInProgress = false;
+  Self->m_NextTrialWriteAt = Self->m_Clock() + TrialWriteRetryInterval;
+  const std::string Outcome = outcomeText(Written, "written");
+  Self->m_Log.add(LogClass::State, "rollout_state_write",
+                  {{"service", std::string_view(Status.m_Service.value())},
+                   {"state", nameOf(Status.m_State)},
+                   {"evidence", Evidence},
+                   {"outcome", std::string_view(Outcome)}});
+  VersionTrial *Trial = Self->m_State.trialOf(Status.m_Service);
+  if (Written && Trial && Trial->order().m_TargetVersion == Status.m_TargetVersion) {
+    Trial->setState(Status.m_State);
+    Self->m_TrialsWithStatus.insert(Status.m_Service);
+  }
+}
+
+} // namespace bulrushpitch
--- /dev/null
+++ b/packages/gateway/src/rollout_coordinator.h
@@ -0,0 +1,68 @@
+#ifndef BULRUSHPITCH_GATEWAY_ROLLOUT_COORDINATOR_H
+#define BULRUSHPITCH_GATEWAY_ROLLOUT_COORDINATOR_H
+
+#include "bulrushpitch/gateway/event_log.h"
+#include "bulrushpitch/gateway/gateway_state.h"
+#include "bulrushpitch/gateway/ports.h"
+#include "bulrushpitch/net/async.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace bulrushpitch {
+
+/// @brief Coordinates rollouts with the other daemons: applies orders, statuses and evidence from the store,
+/// and writes this daemon's decisions and evidence to it.
+///
+/// Not thread-safe; used from one event loop. Must be owned by a shared_ptr, which its store calls extend.
+class RolloutCoordinator : public std::enable_shared_from_this<RolloutCoordinator> {
+public:
+  RolloutCoordinator(boost::asio::io_context &Context, ControlStore &Store, GatewayState &State,
+                     EventLog &Log, ClockHook Clock);
+
+  void applyOrder(const TrialOrder &Order);
+  void withdrawOrder(const ServiceId &Service);
+  void recordUpstream(const RegisteredUpstream &Entry, TimePoint Now);
+  void apply(const TrialChanges &Changes);
+  void apply(const EvidenceChanges &Changes);
+
+  /// @return whether the statuses have to be read as a full snapshot; the caller then does so
+  bool takeStatusSnapshotNeeded();
+  /// @return whether the statuses have to be watched
+  bool anyTrialRuns() const;
+  /// @return whether the other daemons' evidence has to be watched
+  bool needsEvidence() const;
+  /// @brief Writes statuses and evidence that are due. Called periodically.
+  void onTick();
+
+private:
+  void writeStatusIfDue(const ServiceId &Service, const VersionTrial &Trial);
+  void publishEvidence(const ServiceId &Service, VersionTrial &Trial);
+  static boost::asio::awaitable<void> writeEvidence(std::shared_ptr<RolloutCoordinator> Self,
+                                                    TrialEvidence Evidence, std::uint32_t Rank);
+  static boost::asio::awaitable<void> writeStatus(std::shared_ptr<RolloutCoordinator> Self,
+                                                  TrialStatus Status, double Evidence);
+
+  boost::asio::io_context &m_Context;
+  ControlStore &m_Store;
+  GatewayState &m_State;
+  EventLog &m_Log;
+  ClockHook m_Clock;
+  /// Read all rollout statuses again. Set by a new order, as its status may have been read and ignored before
+  /// the order was known.
+  bool m_TrialSnapshotNeeded = true;
+  bool m_TrialWriteInProgress = false;
+  TimePoint m_NextTrialWriteAt{};
+  TimePoint m_NextEvidenceAt{};
+  std::set<ServiceId> m_TrialsWithStatus; ///< Services whose current rollout has a status in the store.
+  std::map<ServiceId, TimePoint> m_TrialWriteDueSince;
+  std::map<ServiceId, std::uint64_t> m_StatusRowVersions;
+};
+
+} // namespace bulrushpitch
+
+#endif // BULRUSHPITCH_GATEWAY_ROLLOUT_COORDINATOR_H
