gateway: a rollout continues when its order is written again after a restore

What callers would see: after the store came back from an older copy, the operator wrote the order of a running rollout again, under another row version. Each daemon began the rollout anew: its exposure was counted from zero, a decision was forgotten, and sessions on the new version went back to the old one (EXPOSURE, PINNED).

Cause: an order was told from another by the version of its row alone, which a restored store gives anew.

Fix: RolloutCoordinator::onStoreRestored() marks the orders of all rollouts as unconfirmed. An order with the same service, target version and time limit that is then read for an unconfirmed rollout gives it the new row version, and the rollout continues. Once an order is confirmed, or without a restore, another row version is a new rollout, as before.

Evidence: the new test with an empty onStoreRestored() failed in all of its three cases ("before the orders are read", "after the orders are read", "after two restores"): CHECK( trial().hasResponses() ) is NOT correct! values: CHECK( false ) It passes now. What happens without a restore, or once the order is confirmed, has a test that passed before, too.

--- a/packages/forward/include/bulrushpitch/forward/version_trial.h
+++ b/packages/forward/include/bulrushpitch/forward/version_trial.h
@@ -61,6 +61,10 @@
   void confirmDecisionsRead() { m_DecisionsRead = true; }
   TrialState state() const { return m_State; }
   const TrialOrder &order() const { return m_Order; }
+  /// @return whether an order is the same, whatever the version of its row
+  bool hasSameOrder(const TrialOrder &Order) const;
+  /// @brief Sets the row version of the order, which the operator has written again. The trial continues.
+  void setOrderVersion(std::uint64_t OrderVersion) { m_Order.m_OrderVersion = OrderVersion; }
 
   /// @brief Records that an upstream of the new version is registered. The exposure limit is a share of all
   /// requests since the order. So the later the first upstream is registered, the larger a share of the
--- a/packages/forward/src/version_trial.cpp
+++ b/packages/forward/src/version_trial.cpp
@@ -84,6 +84,11 @@
   RouteTally.m_Evidence = std::max(0.0, RouteTally.m_Evidence + (Bad ? Ratios.m_Bad : Ratios.m_Good));
 }
 
+bool VersionTrial::hasSameOrder(const TrialOrder &Order) const {
+  return Order.m_Service == m_Order.m_Service && Order.m_TargetVersion == m_Order.m_TargetVersion &&
+         Order.m_TimeLimit == m_Order.m_TimeLimit;
+}
+
 void VersionTrial::onUpstreamRegistered(TimePoint Now) {
   if (m_HasUpstream)
     return;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -287,6 +287,8 @@
       m_Rollouts->applyOrder(Order);
     for (const ServiceId &Service : Changes.m_TrialsWithdrawn)
       m_Rollouts->withdrawOrder(Service);
+    if (Changes.m_FullSnapshot)
+      m_Rollouts->onOrdersRead();
   }
 
   void applyConfig(const OrderChanges &Changes) {
--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -36,21 +36,39 @@
                                        EventLog &Log, ClockHook Clock)
     : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)) {}
 
+void RolloutCoordinator::onStoreRestored() {
+  for (const auto &Entry : m_State.m_Trials)
+    m_UnconfirmedOrders.insert(Entry.first);
+}
+
+void RolloutCoordinator::onOrdersRead() {}
+
 void RolloutCoordinator::applyOrder(const TrialOrder &Order) {
-  const VersionTrial *Existing = m_State.trialOf(Order.m_Service);
+  VersionTrial *Existing = m_State.trialOf(Order.m_Service);
+  const bool Unconfirmed = m_UnconfirmedOrders.erase(Order.m_Service) > 0;
   if (Existing && Existing->order().m_OrderVersion == Order.m_OrderVersion)
     return;
-  m_State.m_Trials.erase(Order.m_Service);
-  m_State.m_Trials.emplace(Order.m_Service, VersionTrial(Order, m_State.trialExposure(), m_Clock()));
   m_TrialsWithStatus.erase(Order.m_Service);
   m_TrialSnapshotNeeded = true;
+  if (Existing && Unconfirmed && Existing->hasSameOrder(Order)) {
+    Existing->setOrderVersion(Order.m_OrderVersion);
+    m_Log.add(LogClass::State, "rollout_continued",
+              {{"service", std::string_view(Order.m_Service.value())},
+               {"to", std::string_view(Order.m_TargetVersion.value())}});
+    return;
+  }
+  m_State.m_Trials.erase(Order.m_Service);
+  m_State.m_Trials.emplace(Order.m_Service, VersionTrial(Order, m_State.trialExposure(), m_Clock()));
   m_Log.add(LogClass::State, "rollout_ordered",
             {{"service", std::string_view(Order.m_Service.value())},
              {"to", std::string_view(Order.m_TargetVersion.value())},
              {"time_limit_s", std::chrono::duration<double>(Order.m_TimeLimit).count()}});
 }
 
-void RolloutCoordinator::withdrawOrder(const ServiceId &Service) { m_State.m_Trials.erase(Service); }
+void RolloutCoordinator::withdrawOrder(const ServiceId &Service) {
+  m_State.m_Trials.erase(Service);
+  m_UnconfirmedOrders.erase(Service);
+}
 
 void RolloutCoordinator::recordUpstream(const RegisteredUpstream &Entry, TimePoint Now) {
   VersionTrial *Trial = m_State.trialOf(Entry.m_Service);
--- a/packages/gateway/src/rollout_coordinator.h
+++ b/packages/gateway/src/rollout_coordinator.h
@@ -24,6 +24,12 @@
   RolloutCoordinator(boost::asio::io_context &Context, ControlStore &Store, GatewayState &State,
                      EventLog &Log, ClockHook Clock);
 
+  /// @brief Called when the store has come back from an older copy: rows are lost, and row versions are given
+  /// out again. Orders, statuses and evidence that are applied later must have been read since.
+  void onStoreRestored();
+  /// @brief Called after the orders of a full snapshot have been applied.
+  void onOrdersRead();
+
   void applyOrder(const TrialOrder &Order);
   void withdrawOrder(const ServiceId &Service);
   void recordUpstream(const RegisteredUpstream &Entry, TimePoint Now);
@@ -58,6 +64,8 @@
   bool m_TrialWriteInProgress = false;
   TimePoint m_NextTrialWriteAt{};
   TimePoint m_NextEvidenceAt{};
+  /// Services whose rollout order has not been read from the store since it was restored.
+  std::set<ServiceId> m_UnconfirmedOrders;
   std::set<ServiceId> m_TrialsWithStatus; ///< Services whose current rollout has a status in the store.
   std::map<ServiceId, TimePoint> m_TrialWriteDueSince;
   std::map<ServiceId, std::uint64_t> m_StatusRowVersions;
--- /dev/null
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -0,0 +1,181 @@
+#include "../src/rollout_coordinator.h"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace bulrushpitch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+namespace asio = boost::asio;
+
+namespace {
+
+const ServiceId TestService("s");
+
+/// A store that records the writes; its tables are not read.
+class WriteStore : public ControlStore {
+public:
+  explicit WriteStore(asio::io_context &Context) : m_Context(Context) {}
+
+  asio::awaitable<Expected<Done>> writeTrial(TrialStatus Status) override {
+    m_Statuses.push_back(Status);
+    while (m_HoldsWrites)
+      co_await sleepFor(m_Context, milliseconds(1));
+    if (m_RejectsWrites)
+      co_return unused();
+    co_return Done{};
+  }
+  asio::awaitable<Expected<Done>> writeEvidence(TrialEvidence Evidence, std::uint32_t) override {
+    m_Evidence.push_back(std::move(Evidence));
+    co_return Done{};
+  }
+  asio::awaitable<Expected<OrderChanges>> readOrders() override { co_return unused(); }
+  asio::awaitable<Expected<OrderChanges>> watchOrders(std::uint64_t, Duration) override {
+    co_return unused();
+  }
+  asio::awaitable<Expected<UpstreamChanges>> readUpstreams() override { co_return unused(); }
+  asio::awaitable<Expected<UpstreamChanges>> watchUpstreams(std::uint64_t, Duration) override {
+    co_return unused();
+  }
+  asio::awaitable<Expected<TrialChanges>> readTrials() override { co_return unused(); }
+  asio::awaitable<Expected<TrialChanges>> watchTrials(std::uint64_t, Duration) override {
+    co_return unused();
+  }
+  asio::awaitable<Expected<EvidenceChanges>> readEvidence() override { co_return unused(); }
+  asio::awaitable<Expected<EvidenceChanges>> watchEvidence(std::uint64_t, Duration) override {
+    co_return unused();
+  }
+  asio::awaitable<Expected<PromptEvidenceChanges>> readPromptEvidence() override { co_return unused(); }
+  asio::awaitable<Expected<PromptEvidenceChanges>> watchPromptEvidence(std::uint64_t, Duration) override {
+    co_return unused();
+  }
+  asio::awaitable<Expected<Done>> writePromptEvidence(PromptEvidence) override { co_return unused(); }
+  asio::awaitable<Expected<Done>> registerDaemon(InstanceId) override { co_return unused(); }
+  asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon) override { co_return unused(); }
+  asio::awaitable<Expected<std::vector<ListedDaemon>>> readDaemons() override { co_return unused(); }
+
+  bool m_HoldsWrites = false;
+  bool m_RejectsWrites = false;
+  std::vector<TrialStatus> m_Statuses;   ///< Written, in this order.
+  std::vector<TrialEvidence> m_Evidence; ///< Written, in this order.
+
+private:
+  static Error unused() { return Error{ErrorCode::ConditionFailed, "call", "test", Ran::No, "rejected"}; }
+
+  asio::io_context &m_Context;
+};
+
+TrialOrder orderTo(const std::string &Version, std::uint64_t OrderVersion) {
+  return TrialOrder{TestService, VersionId(Version), seconds(100), OrderVersion};
+}
+
+struct Fixture {
+  Fixture() {
+    GatewaySettings Settings;
+    Settings.m_Instance = InstanceId("d0");
+    Settings.m_Domain = DomainId("west-a");
+    m_State.emplace(Settings);
+    m_Log.emplace(
+        systemClock(), systemWallClock(), [](std::string_view Text) { return Text.size(); }, 1000.0);
+    m_Rollouts =
+        std::make_shared<RolloutCoordinator>(m_Context, m_Store, *m_State, *m_Log, [this] { return m_Now; });
+  }
+
+  VersionTrial &trial() { return *m_State->trialOf(TestService); }
+
+  /// Runs the periodic calls of an interval.
+  void run(Duration Interval) {
+    constexpr Duration TickInterval = milliseconds(200);
+    for (Duration Elapsed{}; Elapsed < Interval; Elapsed += TickInterval) {
+      m_Now += TickInterval;
+      m_Rollouts->onTick();
+      m_Context.restart();
+      m_Context.run_for(m_Store.m_HoldsWrites ? milliseconds(3) : milliseconds(100));
+    }
+  }
+
+  /// What the control service does with a full snapshot of the orders.
+  void readOrders(const std::vector<TrialOrder> &Orders) {
+    for (const TrialOrder &Order : Orders)
+      m_Rollouts->applyOrder(Order);
+    m_Rollouts->onOrdersRead();
+  }
+
+  /// What the control service does when the statuses are due.
+  void readStatuses(const std::vector<TrialStatus> &Statuses) {
+    m_Rollouts->takeStatusSnapshotNeeded();
+    TrialChanges Snapshot;
+    Snapshot.m_FullSnapshot = true;
+    Snapshot.m_Updated = Statuses;
+    m_Rollouts->apply(Snapshot);
+  }
+
+  void changeStatus(TrialState State, std::uint64_t RowVersion) {
+    TrialChanges Changes;
+    Changes.m_Updated = {statusOf(State, RowVersion)};
+    m_Rollouts->apply(Changes);
+  }
+
+  static TrialStatus statusOf(TrialState State, std::uint64_t RowVersion) {
+    return TrialStatus{TestService, VersionId("v2"), State, RowVersion};
+  }
+
+  /// An order of version 20 whose status is in the store.
+  void startTrial() {
+    readOrders({orderTo("v2", 20)});
+    readStatuses({statusOf(TrialState::Running, 21)});
+  }
+
+  void recordFailures(int Count) {
+    TrialSample Sample;
+    Sample.m_OnNewVersion = true;
+    Sample.m_Failed = true;
+    for (int Failure = 0; Failure < Count; ++Failure)
+      trial().record(Sample);
+  }
+
+  asio::io_context m_Context;
+  WriteStore m_Store{m_Context};
+  TimePoint m_Now = systemClock()();
+  std::optional<GatewayState> m_State;
+  std::optional<EventLog> m_Log;
+  std::shared_ptr<RolloutCoordinator> m_Rollouts;
+};
+
+} // namespace
+
+// Guards against exposure and decisions that are forgotten when the operator writes its orders again.
+TEST_CASE_FIXTURE(Fixture, "a rollout continues when its order is written again after a restore") {
+  startTrial();
+  recordFailures(1);
+  m_Rollouts->onStoreRestored();
+  SUBCASE("before the orders are read") { readOrders({orderTo("v2", 17)}); }
+  SUBCASE("after the orders are read") {
+    readOrders({});
+    m_Rollouts->applyOrder(orderTo("v2", 17));
+  }
+  SUBCASE("after two restores") {
+    readOrders({orderTo("v2", 33)});
+    m_Rollouts->onStoreRestored();
+    readOrders({orderTo("v2", 17)});
+  }
+  CHECK(trial().hasResponses());
+  CHECK(trial().order().m_OrderVersion == 17);
+}
+
+TEST_CASE_FIXTURE(Fixture, "without a restore, or with its order confirmed after one, an order that is "
+                           "written again is a new rollout") {
+  startTrial();
+  recordFailures(1);
+  SUBCASE("no restore") {}
+  SUBCASE("confirmed") {
+    m_Rollouts->onStoreRestored();
+    readOrders({orderTo("v2", 20)});
+  }
+  m_Rollouts->applyOrder(orderTo("v2", 22));
+  CHECK_FALSE(trial().hasResponses());
+}
