gateway: another order with the row version of an earlier one is a new rollout

What callers would see: a restored store gives row versions out again. An order for another version, or with another time limit, that happened to get the row version of the order before it was not seen: the rollout of the earlier one went on, and the new version never got traffic.

Cause: orders with equal row versions were taken for the same order.

Fix: they are the same only if service, target version and time limit are, too. Within one era of the store this changes nothing.

Evidence: the new test failed on the code before, for "another version": CHECK( trial().order().m_TargetVersion == Other.m_TargetVersion ) is NOT correct! values: CHECK( v2 == v3 ) and for "another time limit": values: CHECK( 100000000000ns == 50000000000ns ) It passes now.

--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -46,11 +46,12 @@
 void RolloutCoordinator::applyOrder(const TrialOrder &Order) {
   VersionTrial *Existing = m_State.trialOf(Order.m_Service);
   const bool Unconfirmed = m_UnconfirmedOrders.erase(Order.m_Service) > 0;
-  if (Existing && Existing->order().m_OrderVersion == Order.m_OrderVersion)
+  const bool SameOrder = Existing && Existing->hasSameOrder(Order);
+  if (SameOrder && Existing->order().m_OrderVersion == Order.m_OrderVersion)
     return;
   m_TrialsWithStatus.erase(Order.m_Service);
   m_TrialSnapshotNeeded = true;
-  if (Existing && Unconfirmed && Existing->hasSameOrder(Order)) {
+  if (SameOrder && Unconfirmed) {
     Existing->setOrderVersion(Order.m_OrderVersion);
     m_Log.add(LogClass::State, "rollout_continued",
               {{"service", std::string_view(Order.m_Service.value())},
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -179,3 +179,17 @@
   m_Rollouts->applyOrder(orderTo("v2", 22));
   CHECK_FALSE(trial().hasResponses());
 }
+
+// Guards against an order that is missed because its row version is given out a second time.
+TEST_CASE_FIXTURE(Fixture, "another order with the same row version is a new rollout") {
+  startTrial();
+  recordFailures(1);
+  m_Rollouts->onStoreRestored();
+  TrialOrder Other = orderTo("v2", 20);
+  SUBCASE("another version") { Other.m_TargetVersion = VersionId("v3"); }
+  SUBCASE("another time limit") { Other.m_TimeLimit = seconds(50); }
+  readOrders({Other});
+  CHECK_FALSE(trial().hasResponses());
+  CHECK(trial().order().m_TargetVersion == Other.m_TargetVersion);
+  CHECK(trial().order().m_TimeLimit == Other.m_TimeLimit);
+}
