gateway: row versions of the statuses are forgotten with a restore

What callers would see: a restored store gives row versions anew, or has lost the row of a rollout's status. A daemon wrote its decision on condition of the version that it had read before: the store refuses it again and again, a bad version isn't rolled back in the store and a good one isn't completed; or the condition holds by chance for another row.

Fix: onStoreRestored() clears them. An absent row then has the condition "absent", others that of the version read since.

--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -39,6 +39,7 @@
 void RolloutCoordinator::onStoreRestored() {
   for (const auto &Entry : m_State.m_Trials)
     m_UnconfirmedOrders.insert(Entry.first);
+  m_StatusRowVersions.clear();
 }
 
 void RolloutCoordinator::onOrdersRead() {}
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -193,3 +193,21 @@
   CHECK(trial().order().m_TargetVersion == Other.m_TargetVersion);
   CHECK(trial().order().m_TimeLimit == Other.m_TimeLimit);
 }
+
+// Guards against a decision that no daemon can write, as its condition is of a row that the store has lost.
+TEST_CASE_FIXTURE(Fixture, "a status is written under the row version that was read after the restore") {
+  startTrial();
+  m_Rollouts->onStoreRestored();
+  readOrders({orderTo("v2", 20)});
+  std::uint64_t RowVersion = 0;
+  SUBCASE("the row is lost") { readStatuses({}); }
+  SUBCASE("the row is older") {
+    readStatuses({statusOf(TrialState::Completed, 7)});
+    RowVersion = 7;
+  }
+  recordFailures(6);
+  run(seconds(1));
+  REQUIRE_FALSE(m_Store.m_Statuses.empty());
+  CHECK(m_Store.m_Statuses.front().m_State == TrialState::RolledBack);
+  CHECK(m_Store.m_Statuses.front().m_RowVersion == RowVersion);
+}
