gateway: after a restore, statuses wait until orders and statuses are read again

What callers would see: the row version of a status decides whether it belongs to a rollout's order or to an earlier rollout. After a restore a status with a version of the new era was compared with the order's version of the old one: a status of an earlier rollout of the same version counted (a good version given up, or a bad one sent all traffic), or the rollout's own one didn't. Decisions were written meanwhile, too, also for an order that the store no longer held.

Cause: row versions were compared across a restore.

The statuses aren't watched while the orders are missing. A rollout whose order the operator has not written again yet has no status; once it is, the statuses are read once more. Without a restore no call changes.

--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -133,7 +133,7 @@
     Table.m_Prepare = [this](Feed &Trials) {
       if (m_Rollouts->takeStatusSnapshotNeeded())
         Trials.m_Cursor.reset();
-      return m_Rollouts->anyTrialRuns();
+      return m_Rollouts->needsStatuses();
     };
     return Table;
   }
--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -40,15 +40,22 @@
   for (const auto &Entry : m_State.m_Trials)
     m_UnconfirmedOrders.insert(Entry.first);
   m_StatusRowVersions.clear();
+  m_TrialsWithStatus.clear();
+  m_TrialSnapshotNeeded = true;
+  m_Recovery = Recovery::OrdersNeeded;
 }
 
-void RolloutCoordinator::onOrdersRead() {}
+void RolloutCoordinator::onOrdersRead() {
+  if (m_Recovery == Recovery::OrdersNeeded)
+    m_Recovery = Recovery::StatusesNeeded;
+}
 
 void RolloutCoordinator::applyOrder(const TrialOrder &Order) {
   VersionTrial *Existing = m_State.trialOf(Order.m_Service);
   const bool Unconfirmed = m_UnconfirmedOrders.erase(Order.m_Service) > 0;
   const bool SameOrder = Existing && Existing->hasSameOrder(Order);
-  if (SameOrder && Existing->order().m_OrderVersion == Order.m_OrderVersion)
+  const bool SameRow = SameOrder && Existing->order().m_OrderVersion == Order.m_OrderVersion;
+  if (SameRow && !Unconfirmed)
     return;
   m_TrialsWithStatus.erase(Order.m_Service);
   m_TrialSnapshotNeeded = true;
@@ -78,27 +85,40 @@
     Trial->onUpstreamRegistered(Now);
 }
 
+bool RolloutCoordinator::isOrderConfirmed(const ServiceId &Service) const {
+  return m_UnconfirmedOrders.count(Service) == 0;
+}
+
 void RolloutCoordinator::apply(const TrialChanges &Changes) {
-  for (const TrialStatus &Status : Changes.m_Updated) {
-    VersionTrial *Trial = m_State.trialOf(Status.m_Service);
-    m_StatusRowVersions[Status.m_Service] = Status.m_RowVersion;
-    // A status older than the order belongs to an earlier rollout.
-    if (!Trial || Status.m_TargetVersion != Trial->order().m_TargetVersion ||
-        Status.m_RowVersion < Trial->order().m_OrderVersion)
-      continue;
-    m_TrialsWithStatus.insert(Status.m_Service);
-    if (Trial->state() == Status.m_State)
-      continue;
-    Trial->setState(Status.m_State);
-    m_Log.add(LogClass::State, "rollout_decided",
-              {{"service", std::string_view(Status.m_Service.value())},
-               {"to", std::string_view(Status.m_TargetVersion.value())},
-               {"state", nameOf(Status.m_State)}});
-  }
-  if (!Changes.m_FullSnapshot || m_TrialSnapshotNeeded)
+  const bool Requested = Changes.m_FullSnapshot && !m_TrialSnapshotNeeded;
+  if (m_Recovery != Recovery::None && !Requested)
+    return;
+  m_Recovery = Recovery::None;
+  for (const TrialStatus &Status : Changes.m_Updated)
+    applyStatus(Status);
+  if (!Requested)
     return;
   for (auto &Entry : m_State.m_Trials)
-    Entry.second.confirmDecisionsRead();
+    if (isOrderConfirmed(Entry.first))
+      Entry.second.confirmDecisionsRead();
+}
+
+void RolloutCoordinator::applyStatus(const TrialStatus &Status) {
+  VersionTrial *Trial = m_State.trialOf(Status.m_Service);
+  m_StatusRowVersions[Status.m_Service] = Status.m_RowVersion;
+  // A status older than the order belongs to an earlier rollout.
+  if (!Trial || !isOrderConfirmed(Status.m_Service) ||
+      Status.m_TargetVersion != Trial->order().m_TargetVersion ||
+      Status.m_RowVersion < Trial->order().m_OrderVersion)
+    return;
+  m_TrialsWithStatus.insert(Status.m_Service);
+  if (Trial->state() == Status.m_State)
+    return;
+  Trial->setState(Status.m_State);
+  m_Log.add(LogClass::State, "rollout_decided",
+            {{"service", std::string_view(Status.m_Service.value())},
+             {"to", std::string_view(Status.m_TargetVersion.value())},
+             {"state", nameOf(Status.m_State)}});
 }
 
 void RolloutCoordinator::apply(const EvidenceChanges &Changes) {
@@ -110,7 +130,11 @@
   }
 }
 
-bool RolloutCoordinator::takeStatusSnapshotNeeded() { return std::exchange(m_TrialSnapshotNeeded, false); }
+bool RolloutCoordinator::takeStatusSnapshotNeeded() {
+  if (m_Recovery == Recovery::OrdersNeeded)
+    return false;
+  return std::exchange(m_TrialSnapshotNeeded, false);
+}
 
 bool RolloutCoordinator::needsEvidence() const {
   return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(), [this](const auto &Entry) {
@@ -119,7 +143,9 @@
   });
 }
 
-bool RolloutCoordinator::anyTrialRuns() const {
+bool RolloutCoordinator::needsStatuses() const {
+  if (m_Recovery != Recovery::None)
+    return m_Recovery == Recovery::StatusesNeeded && !m_State.m_Trials.empty();
   return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(),
                      [](const auto &Entry) { return Entry.second.state() == TrialState::Running; });
 }
@@ -134,6 +160,8 @@
 void RolloutCoordinator::writeStatusIfDue(const ServiceId &Service, const VersionTrial &Trial) {
   if (Trial.state() != TrialState::Running || m_TrialSnapshotNeeded || m_TrialWriteInProgress)
     return;
+  if (m_Recovery != Recovery::None || !isOrderConfirmed(Service))
+    return;
   const TimePoint Now = m_Clock();
   const TrialState Verdict = Trial.verdict(Now);
   if (Verdict == TrialState::Running && m_TrialsWithStatus.count(Service) > 0) {
--- a/packages/gateway/src/rollout_coordinator.h
+++ b/packages/gateway/src/rollout_coordinator.h
@@ -33,19 +33,26 @@
   void applyOrder(const TrialOrder &Order);
   void withdrawOrder(const ServiceId &Service);
   void recordUpstream(const RegisteredUpstream &Entry, TimePoint Now);
+  /// @brief Applies statuses. Ignored after a restore until the orders have been read, and then the full
+  /// snapshot that takeStatusSnapshotNeeded() asked for: row versions before and after it don't compare.
   void apply(const TrialChanges &Changes);
   void apply(const EvidenceChanges &Changes);
 
   /// @return whether the statuses have to be read as a full snapshot; the caller then does so
   bool takeStatusSnapshotNeeded();
-  /// @return whether the statuses have to be watched
-  bool anyTrialRuns() const;
+  /// @return whether the statuses have to be read or watched
+  bool needsStatuses() const;
   /// @return whether the other daemons' evidence has to be watched
   bool needsEvidence() const;
   /// @brief Writes statuses and evidence that are due. Called periodically.
   void onTick();
 
 private:
+  /// What has to be read from the store since it was restored.
+  enum class Recovery : std::uint8_t { None, OrdersNeeded, StatusesNeeded };
+
+  bool isOrderConfirmed(const ServiceId &Service) const;
+  void applyStatus(const TrialStatus &Status);
   void writeStatusIfDue(const ServiceId &Service, const VersionTrial &Trial);
   void publishEvidence(const ServiceId &Service, VersionTrial &Trial);
   static boost::asio::awaitable<void> writeEvidence(std::shared_ptr<RolloutCoordinator> Self,
@@ -61,6 +68,7 @@
   /// Read all rollout statuses again. Set by a new order, as its status may have been read and ignored before
   /// the order was known.
   bool m_TrialSnapshotNeeded = true;
+  Recovery m_Recovery = Recovery::None;
   bool m_TrialWriteInProgress = false;
   TimePoint m_NextTrialWriteAt{};
   TimePoint m_NextEvidenceAt{};
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -211,3 +211,89 @@
   CHECK(m_Store.m_Statuses.front().m_State == TrialState::RolledBack);
   CHECK(m_Store.m_Statuses.front().m_RowVersion == RowVersion);
 }
+
+// Guards against the status of an earlier rollout that counts because its row version was compared with that
+// of an order from before the restore.
+TEST_CASE_FIXTURE(Fixture, "no status is accepted until orders and statuses are read after a restore") {
+  startTrial();
+  m_Rollouts->onStoreRestored();
+  changeStatus(TrialState::RolledBack, 23);
+  CHECK(trial().state() == TrialState::Running);
+  CHECK_FALSE(m_Rollouts->takeStatusSnapshotNeeded());
+  CHECK_FALSE(m_Rollouts->needsStatuses());
+  SUBCASE("of an earlier rollout") {
+    readOrders({orderTo("v2", 25)});
+    changeStatus(TrialState::RolledBack, 23);
+    REQUIRE(m_Rollouts->takeStatusSnapshotNeeded());
+    readStatuses({statusOf(TrialState::RolledBack, 23)});
+    CHECK(trial().state() == TrialState::Running);
+  }
+  SUBCASE("of this rollout") {
+    readOrders({orderTo("v2", 17)});
+    changeStatus(TrialState::RolledBack, 18);
+    CHECK(trial().state() == TrialState::Running);
+    CHECK(m_Rollouts->needsStatuses());
+    REQUIRE(m_Rollouts->takeStatusSnapshotNeeded());
+    readStatuses({statusOf(TrialState::RolledBack, 18)});
+    CHECK(trial().state() == TrialState::RolledBack);
+  }
+}
+
+// Guards against a snapshot from before the restore that arrives after the orders.
+TEST_CASE_FIXTURE(Fixture, "statuses whose read began before the restore are ignored") {
+  startTrial();
+  CHECK_FALSE(m_Rollouts->takeStatusSnapshotNeeded());
+  m_Rollouts->onStoreRestored();
+  readOrders({orderTo("v2", 17)});
+  TrialChanges Late;
+  Late.m_FullSnapshot = true;
+  Late.m_Updated = {statusOf(TrialState::RolledBack, 24)};
+  m_Rollouts->apply(Late);
+  CHECK(trial().state() == TrialState::Running);
+  CHECK(m_Rollouts->takeStatusSnapshotNeeded());
+}
+
+// Guards against decisions that are written under conditions of the store before the restore.
+TEST_CASE_FIXTURE(Fixture, "no status is written until orders and statuses are read after a restore") {
+  startTrial();
+  m_Rollouts->onStoreRestored();
+  recordFailures(6);
+  run(seconds(1));
+  CHECK(m_Store.m_Statuses.empty());
+  SUBCASE("one restore") { readOrders({orderTo("v2", 20)}); }
+  SUBCASE("two restores") {
+    readOrders({orderTo("v2", 20)});
+    readStatuses({statusOf(TrialState::Running, 21)});
+    m_Rollouts->onStoreRestored();
+    run(seconds(1));
+    CHECK(m_Store.m_Statuses.empty());
+    readOrders({orderTo("v2", 20)});
+  }
+  run(seconds(1));
+  CHECK(m_Store.m_Statuses.empty());
+  readStatuses({statusOf(TrialState::Running, 21)});
+  run(seconds(1));
+  REQUIRE(m_Store.m_Statuses.size() == 1);
+  CHECK(m_Store.m_Statuses.front().m_RowVersion == 21);
+}
+
+// Guards against the status of a rollout whose order is not in force in the store.
+TEST_CASE_FIXTURE(Fixture,
+                  "while the operator has not written a lost order again, its rollout has no status") {
+  startTrial();
+  m_Rollouts->onStoreRestored();
+  readOrders({});
+  readStatuses({statusOf(TrialState::RolledBack, 24)});
+  CHECK(trial().state() == TrialState::Running);
+  recordFailures(6);
+  run(seconds(1));
+  CHECK(m_Store.m_Statuses.empty());
+  std::uint64_t OrderVersion = 20;
+  SUBCASE("written again") { OrderVersion = 22; }
+  SUBCASE("written again with the same version") {}
+  m_Rollouts->applyOrder(orderTo("v2", OrderVersion));
+  REQUIRE(m_Rollouts->takeStatusSnapshotNeeded());
+  readStatuses({statusOf(TrialState::RolledBack, 24)});
+  CHECK(trial().state() == TrialState::RolledBack);
+  CHECK(m_Store.m_Statuses.empty());
+}
