gateway: a decision on a rollout that a restore has undone is written again

What callers would see: the store comes back without a status that the daemons had written after the copy. Where the restored row said "running", all daemons that read it took a version that they had rolled back into trial again.

Cause: a decided rollout was never written, its status not watched, and any status read was applied, "running" after a decision as well.

Fix: the daemon notes which state the store holds for the current rollouts (m_StoredStates, emptied by a restore). A decision that the store doesn't hold is written on condition of the row version read since, staggered by rank and never urgent; the statuses are watched until the store holds it. A decision is final: "running" in the store doesn't take it back, and a daemon that doesn't know it accepts it when it is written. Without a restore a decision is known to be stored from the moment that it is known, so that no call is added. The stagger now also starts anew with each write: its begin was kept after a decision.

--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -40,7 +40,8 @@
   for (const auto &Entry : m_State.m_Trials)
     m_UnconfirmedOrders.insert(Entry.first);
   m_StatusRowVersions.clear();
-  m_TrialsWithStatus.clear();
+  m_StoredStates.clear();
+  m_TrialWriteDueSince.clear();
   m_TrialSnapshotNeeded = true;
   m_Recovery = Recovery::OrdersNeeded;
 }
@@ -57,7 +58,7 @@
   const bool SameRow = SameOrder && Existing->order().m_OrderVersion == Order.m_OrderVersion;
   if (SameRow && !Unconfirmed)
     return;
-  m_TrialsWithStatus.erase(Order.m_Service);
+  m_StoredStates.erase(Order.m_Service);
   m_TrialSnapshotNeeded = true;
   if (SameOrder && Unconfirmed) {
     Existing->setOrderVersion(Order.m_OrderVersion);
@@ -89,6 +90,11 @@
   return m_UnconfirmedOrders.count(Service) == 0;
 }
 
+bool RolloutCoordinator::isStored(const ServiceId &Service, TrialState State) const {
+  const auto Stored = m_StoredStates.find(Service);
+  return Stored != m_StoredStates.end() && Stored->second == State;
+}
+
 void RolloutCoordinator::apply(const TrialChanges &Changes) {
   const bool Requested = Changes.m_FullSnapshot && !m_TrialSnapshotNeeded;
   if (m_Recovery != Recovery::None && !Requested)
@@ -111,8 +117,9 @@
       Status.m_TargetVersion != Trial->order().m_TargetVersion ||
       Status.m_RowVersion < Trial->order().m_OrderVersion)
     return;
-  m_TrialsWithStatus.insert(Status.m_Service);
-  if (Trial->state() == Status.m_State)
+  m_StoredStates[Status.m_Service] = Status.m_State;
+  // A decision is final: a status that says otherwise comes from a restored store.
+  if (Trial->state() == Status.m_State || Status.m_State == TrialState::Running)
     return;
   Trial->setState(Status.m_State);
   m_Log.add(LogClass::State, "rollout_decided",
@@ -146,8 +153,10 @@
 bool RolloutCoordinator::needsStatuses() const {
   if (m_Recovery != Recovery::None)
     return m_Recovery == Recovery::StatusesNeeded && !m_State.m_Trials.empty();
-  return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(),
-                     [](const auto &Entry) { return Entry.second.state() == TrialState::Running; });
+  return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(), [this](const auto &Entry) {
+    const TrialState State = Entry.second.state();
+    return State == TrialState::Running || (isOrderConfirmed(Entry.first) && !isStored(Entry.first, State));
+  });
 }
 
 void RolloutCoordinator::onTick() {
@@ -158,18 +167,18 @@
 }
 
 void RolloutCoordinator::writeStatusIfDue(const ServiceId &Service, const VersionTrial &Trial) {
-  if (Trial.state() != TrialState::Running || m_TrialSnapshotNeeded || m_TrialWriteInProgress)
-    return;
-  if (m_Recovery != Recovery::None || !isOrderConfirmed(Service))
+  if (m_TrialSnapshotNeeded || m_TrialWriteInProgress || m_Recovery != Recovery::None ||
+      !isOrderConfirmed(Service))
     return;
   const TimePoint Now = m_Clock();
   const TrialState Verdict = Trial.verdict(Now);
-  if (Verdict == TrialState::Running && m_TrialsWithStatus.count(Service) > 0) {
+  if (isStored(Service, Verdict)) {
     m_TrialWriteDueSince.erase(Service);
     return;
   }
   const TimePoint DueSince = m_TrialWriteDueSince.emplace(Service, Now).first->second;
-  const bool Urgent = Verdict == TrialState::RolledBack && Trial.hasRollbackEvidence();
+  const bool Urgent = Trial.state() == TrialState::Running && Verdict == TrialState::RolledBack &&
+                      Trial.hasRollbackEvidence();
   if (!Urgent && Now - DueSince < TrialWriteStagger * daemonRank(Service.value(), m_State.m_PlacementContext))
     return;
   if (Now < m_NextTrialWriteAt)
@@ -221,10 +230,12 @@
                    {"evidence", Evidence},
                    {"outcome", std::string_view(Outcome)}});
   VersionTrial *Trial = Self->m_State.trialOf(Status.m_Service);
-  if (Written && Trial && Trial->order().m_TargetVersion == Status.m_TargetVersion) {
+  if (!Written || !Trial || Trial->order().m_TargetVersion != Status.m_TargetVersion)
+    co_return;
+  if (Trial->state() == TrialState::Running)
     Trial->setState(Status.m_State);
-    Self->m_TrialsWithStatus.insert(Status.m_Service);
-  }
+  if (Trial->state() == Status.m_State)
+    Self->m_StoredStates[Status.m_Service] = Status.m_State;
 }
 
 } // namespace bulrushpitch
--- a/packages/gateway/src/rollout_coordinator.h
+++ b/packages/gateway/src/rollout_coordinator.h
@@ -52,6 +52,7 @@
   enum class Recovery : std::uint8_t { None, OrdersNeeded, StatusesNeeded };
 
   bool isOrderConfirmed(const ServiceId &Service) const;
+  bool isStored(const ServiceId &Service, TrialState State) const;
   void applyStatus(const TrialStatus &Status);
   void writeStatusIfDue(const ServiceId &Service, const VersionTrial &Trial);
   void publishEvidence(const ServiceId &Service, VersionTrial &Trial);
@@ -74,7 +75,8 @@
   TimePoint m_NextEvidenceAt{};
   /// Services whose rollout order has not been read from the store since it was restored.
   std::set<ServiceId> m_UnconfirmedOrders;
-  std::set<ServiceId> m_TrialsWithStatus; ///< Services whose current rollout has a status in the store.
+  /// States that the store holds for the current rollouts, as far as known.
+  std::map<ServiceId, TrialState> m_StoredStates;
   std::map<ServiceId, TimePoint> m_TrialWriteDueSince;
   std::map<ServiceId, std::uint64_t> m_StatusRowVersions;
 };
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -130,6 +130,14 @@
     readStatuses({statusOf(TrialState::Running, 21)});
   }
 
+  /// A restored store with the order and a status "running"; row version 0: without the status.
+  void restoreWithStatus(std::uint64_t RowVersion) {
+    m_Rollouts->onStoreRestored();
+    readOrders({orderTo("v2", 20)});
+    readStatuses(RowVersion == 0 ? std::vector<TrialStatus>()
+                                 : std::vector<TrialStatus>{statusOf(TrialState::Running, RowVersion)});
+  }
+
   void recordFailures(int Count) {
     TrialSample Sample;
     Sample.m_OnNewVersion = true;
@@ -297,3 +305,101 @@
   CHECK(trial().state() == TrialState::RolledBack);
   CHECK(m_Store.m_Statuses.empty());
 }
+
+// Guards against a decision that the operator never learns, and against a rolled-back version that gets
+// requests again.
+TEST_CASE("a decision that was lost with a restore is written again, once") {
+  for (const TrialState Decision : {TrialState::Completed, TrialState::RolledBack}) {
+    for (const std::uint64_t RowVersion : {0, 21}) {
+      CAPTURE(RowVersion);
+      Fixture Each;
+      Each.startTrial();
+      Each.changeStatus(Decision, 30);
+      Each.restoreWithStatus(RowVersion);
+      CHECK(Each.trial().state() == Decision);
+      CHECK(Each.m_Rollouts->needsStatuses());
+      Each.run(seconds(3));
+      REQUIRE(Each.m_Store.m_Statuses.size() == 1);
+      CHECK(Each.m_Store.m_Statuses.front().m_State == Decision);
+      CHECK(Each.m_Store.m_Statuses.front().m_RowVersion == RowVersion);
+      CHECK_FALSE(Each.m_Rollouts->needsStatuses());
+    }
+  }
+}
+
+// Guards against a daemon that forgets a decision, as another one that doesn't know it writes first.
+TEST_CASE_FIXTURE(Fixture, "a decision stands after another daemon has written that the rollout runs") {
+  startTrial();
+  changeStatus(TrialState::Completed, 30);
+  restoreWithStatus(0);
+  changeStatus(TrialState::Running, 26);
+  CHECK(trial().state() == TrialState::Completed);
+  run(seconds(3));
+  REQUIRE(m_Store.m_Statuses.size() == 1);
+  CHECK(m_Store.m_Statuses.front().m_State == TrialState::Completed);
+  CHECK(m_Store.m_Statuses.front().m_RowVersion == 26);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a decision that survived a restore is not written again") {
+  startTrial();
+  changeStatus(TrialState::Completed, 30);
+  m_Rollouts->onStoreRestored();
+  readOrders({orderTo("v2", 20)});
+  readStatuses({statusOf(TrialState::Completed, 30)});
+  run(seconds(3));
+  CHECK(m_Store.m_Statuses.empty());
+  CHECK_FALSE(m_Rollouts->needsStatuses());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a daemon accepts a decision that another one has written again") {
+  startTrial();
+  m_Rollouts->onStoreRestored();
+  readOrders({orderTo("v2", 20)});
+  readStatuses({statusOf(TrialState::Running, 21)});
+  changeStatus(TrialState::RolledBack, 26);
+  CHECK(trial().state() == TrialState::RolledBack);
+  run(seconds(3));
+  CHECK(m_Store.m_Statuses.empty());
+}
+
+// Guards against a decision that is written for an order which is not in force any more.
+TEST_CASE_FIXTURE(Fixture, "a lost decision is not written before its order, or for another one") {
+  startTrial();
+  changeStatus(TrialState::RolledBack, 30);
+  m_Rollouts->onStoreRestored();
+  SUBCASE("not in the store") { readOrders({}); }
+  SUBCASE("withdrawn") {
+    readOrders({orderTo("v2", 20)});
+    m_Rollouts->withdrawOrder(TestService);
+  }
+  SUBCASE("another order") { readOrders({orderTo("v3", 20)}); }
+  readStatuses({statusOf(TrialState::Running, 21)});
+  run(seconds(3));
+  for (const TrialStatus &Status : m_Store.m_Statuses)
+    CHECK(Status.m_TargetVersion == VersionId("v3"));
+}
+
+// Guards against one store call by each daemon for the same decision.
+TEST_CASE_FIXTURE(Fixture, "a lost decision is written again by the first daemon, others wait for it") {
+  m_State->setDaemons({InstanceId("d0"), InstanceId("d1"), InstanceId("d2"), InstanceId("d3")});
+  const std::uint32_t Rank = daemonRank(TestService.value(), m_State->m_PlacementContext);
+  REQUIRE(Rank > 0);
+  startTrial();
+  recordFailures(6);
+  changeStatus(TrialState::RolledBack, 30);
+  m_Rollouts->onStoreRestored();
+  readOrders({orderTo("v2", 20)});
+  readStatuses({statusOf(TrialState::Running, 21)});
+  CHECK(m_Rollouts->needsStatuses());
+  run(milliseconds(300) * Rank);
+  CHECK(m_Store.m_Statuses.empty());
+  SUBCASE("it writes") {
+    changeStatus(TrialState::RolledBack, 26);
+    run(seconds(5));
+    CHECK(m_Store.m_Statuses.empty());
+  }
+  SUBCASE("it does not write") {
+    run(seconds(5));
+    CHECK(m_Store.m_Statuses.size() == 1);
+  }
+}
