gateway: the answer to a status write from before a restore does not mean that it is stored

What callers would see: a decision whose write was under way while the store was restored was taken for stored when the answer arrived, though the copy doesn't hold it: no daemon wrote it again.

Cause: the answer marked the state as stored whatever had happened since the call.

Fix: a write carries the number of restores at its begin. An answer from before a restore still tells the decision, which others may have acted on, but not that the store holds it: the statuses read since show that.

Evidence: the new test failed on the code before in two of its three cases ("answered before the statuses are read", "answered afterwards"): REQUIRE( m_Store.m_Statuses.size() == 2 ) is NOT correct! values: REQUIRE( 1 == 2 ) It passes now. A write that took effect on the restored store isn't repeated (a test that passed before, too).

--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -44,6 +44,7 @@
   m_TrialWriteDueSince.clear();
   m_TrialSnapshotNeeded = true;
   m_Recovery = Recovery::OrdersNeeded;
+  ++m_Restores;
 }
 
 void RolloutCoordinator::onOrdersRead() {
@@ -184,10 +185,8 @@
   if (Now < m_NextTrialWriteAt)
     return;
   m_TrialWriteInProgress = true;
-  spawn(m_Context, writeStatus(shared_from_this(),
-                               TrialStatus{Service, Trial.order().m_TargetVersion, Verdict,
-                                           m_StatusRowVersions[Service]},
-                               Trial.evidence()));
+  const TrialStatus Status{Service, Trial.order().m_TargetVersion, Verdict, m_StatusRowVersions[Service]};
+  spawn(m_Context, writeStatus(shared_from_this(), StatusWrite{Status, Trial.evidence(), m_Restores}));
 }
 
 void RolloutCoordinator::publishEvidence(const ServiceId &Service, VersionTrial &Trial) {
@@ -219,23 +218,30 @@
 }
 
 asio::awaitable<void> RolloutCoordinator::writeStatus(std::shared_ptr<RolloutCoordinator> Self,
-                                                      TrialStatus Status, double Evidence) {
-  Expected<Done> Written = co_await Self->m_Store.writeTrial(Status);
+                                                      StatusWrite Write) {
+  const Expected<Done> Written = co_await Self->m_Store.writeTrial(Write.m_Status);
   Self->m_TrialWriteInProgress = false;
   Self->m_NextTrialWriteAt = Self->m_Clock() + TrialWriteRetryInterval;
   const std::string Outcome = outcomeText(Written, "written");
   Self->m_Log.add(LogClass::State, "rollout_state_write",
-                  {{"service", std::string_view(Status.m_Service.value())},
-                   {"state", nameOf(Status.m_State)},
-                   {"evidence", Evidence},
+                  {{"service", std::string_view(Write.m_Status.m_Service.value())},
+                   {"state", nameOf(Write.m_Status.m_State)},
+                   {"evidence", Write.m_Evidence},
                    {"outcome", std::string_view(Outcome)}});
-  VersionTrial *Trial = Self->m_State.trialOf(Status.m_Service);
-  if (!Written || !Trial || Trial->order().m_TargetVersion != Status.m_TargetVersion)
-    co_return;
+  if (Written)
+    Self->onStatusWritten(Write);
+}
+
+void RolloutCoordinator::onStatusWritten(const StatusWrite &Write) {
+  const TrialStatus &Status = Write.m_Status;
+  VersionTrial *Trial = m_State.trialOf(Status.m_Service);
+  if (!Trial || Trial->order().m_TargetVersion != Status.m_TargetVersion)
+    return;
   if (Trial->state() == TrialState::Running)
     Trial->setState(Status.m_State);
-  if (Trial->state() == Status.m_State)
-    Self->m_StoredStates[Status.m_Service] = Status.m_State;
+  // A write that began before a restore may have reached the store before or after it.
+  if (Trial->state() == Status.m_State && Write.m_Restores == m_Restores)
+    m_StoredStates[Status.m_Service] = Status.m_State;
 }
 
 } // namespace bulrushpitch
--- a/packages/gateway/src/rollout_coordinator.h
+++ b/packages/gateway/src/rollout_coordinator.h
@@ -51,15 +51,23 @@
   /// What has to be read from the store since it was restored.
   enum class Recovery : std::uint8_t { None, OrdersNeeded, StatusesNeeded };
 
+  /// A write of a status, and when it began.
+  struct StatusWrite {
+    TrialStatus m_Status;
+    double m_Evidence = 0.0;
+    std::uint64_t m_Restores = 0; ///< Restores of the store before it.
+  };
+
   bool isOrderConfirmed(const ServiceId &Service) const;
   bool isStored(const ServiceId &Service, TrialState State) const;
   void applyStatus(const TrialStatus &Status);
+  void onStatusWritten(const StatusWrite &Write);
   void writeStatusIfDue(const ServiceId &Service, const VersionTrial &Trial);
   void publishEvidence(const ServiceId &Service, VersionTrial &Trial);
   static boost::asio::awaitable<void> writeEvidence(std::shared_ptr<RolloutCoordinator> Self,
                                                     TrialEvidence Evidence, std::uint32_t Rank);
   static boost::asio::awaitable<void> writeStatus(std::shared_ptr<RolloutCoordinator> Self,
-                                                  TrialStatus Status, double Evidence);
+                                                  StatusWrite Write);
 
   boost::asio::io_context &m_Context;
   ControlStore &m_Store;
@@ -70,6 +78,7 @@
   /// the order was known.
   bool m_TrialSnapshotNeeded = true;
   Recovery m_Recovery = Recovery::None;
+  std::uint64_t m_Restores = 0;
   bool m_TrialWriteInProgress = false;
   TimePoint m_NextTrialWriteAt{};
   TimePoint m_NextEvidenceAt{};
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -403,3 +403,52 @@
     CHECK(m_Store.m_Statuses.size() == 1);
   }
 }
+
+// Guards against a decision that is taken for stored, as the store accepted it before it was restored.
+TEST_CASE_FIXTURE(Fixture,
+                  "the answer to a status write from before a restore does not mean that it is stored") {
+  startTrial();
+  recordFailures(6);
+  m_Store.m_HoldsWrites = true;
+  run(milliseconds(400));
+  REQUIRE(m_Store.m_Statuses.size() == 1);
+  std::uint64_t RowVersion = 21;
+  SUBCASE("answered before the statuses are read") {
+    m_Rollouts->onStoreRestored();
+    readOrders({orderTo("v2", 20)});
+    m_Store.m_HoldsWrites = false;
+    run(milliseconds(200));
+    CHECK(trial().state() == TrialState::RolledBack);
+    readStatuses({});
+    RowVersion = 0;
+  }
+  SUBCASE("answered afterwards") {
+    restoreWithStatus(21);
+    m_Store.m_HoldsWrites = false;
+    run(milliseconds(200));
+    CHECK(trial().state() == TrialState::RolledBack);
+  }
+  SUBCASE("answered between two restores") {
+    m_Rollouts->onStoreRestored();
+    m_Store.m_HoldsWrites = false;
+    run(milliseconds(200));
+    restoreWithStatus(21);
+  }
+  run(seconds(1));
+  REQUIRE(m_Store.m_Statuses.size() == 2);
+  CHECK(m_Store.m_Statuses.back().m_State == TrialState::RolledBack);
+  CHECK(m_Store.m_Statuses.back().m_RowVersion == RowVersion);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a status write from before a restore that took effect after it is not repeated") {
+  startTrial();
+  recordFailures(6);
+  m_Store.m_HoldsWrites = true;
+  run(milliseconds(400));
+  restoreWithStatus(21);
+  changeStatus(TrialState::RolledBack, 23);
+  m_Store.m_HoldsWrites = false;
+  run(seconds(3));
+  CHECK(trial().state() == TrialState::RolledBack);
+  CHECK(m_Store.m_Statuses.size() == 1);
+}
