gateway: a late answer to a status write decides only the rollout that it was written for

What callers would see: a rollout ordered while the status of the one before was being written took over its decision, if both have the same target version: a version ordered a second time, or with another time limit after a restore, was given up at that daemon without a trial.

Cause: the answer was matched by target version alone.

Fix: each trial has a number, which it keeps when its order is written again after a restore; a write carries it.

Evidence: the new test failed on the code before in both cases ("the same order again", without a restore, and "another order after a restore"): CHECK( trial().state() == TrialState::Running ) is NOT correct! values: CHECK( 2 == 0 ) It passes now.

--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -68,6 +68,7 @@
                {"to", std::string_view(Order.m_TargetVersion.value())}});
     return;
   }
+  ++m_TrialNumbers[Order.m_Service];
   m_State.m_Trials.erase(Order.m_Service);
   m_State.m_Trials.emplace(Order.m_Service, VersionTrial(Order, m_State.trialExposure(), m_Clock()));
   m_Log.add(LogClass::State, "rollout_ordered",
@@ -186,7 +187,8 @@
     return;
   m_TrialWriteInProgress = true;
   const TrialStatus Status{Service, Trial.order().m_TargetVersion, Verdict, m_StatusRowVersions[Service]};
-  spawn(m_Context, writeStatus(shared_from_this(), StatusWrite{Status, Trial.evidence(), m_Restores}));
+  spawn(m_Context, writeStatus(shared_from_this(),
+                               StatusWrite{Status, Trial.evidence(), m_TrialNumbers[Service], m_Restores}));
 }
 
 void RolloutCoordinator::publishEvidence(const ServiceId &Service, VersionTrial &Trial) {
@@ -235,7 +237,7 @@
 void RolloutCoordinator::onStatusWritten(const StatusWrite &Write) {
   const TrialStatus &Status = Write.m_Status;
   VersionTrial *Trial = m_State.trialOf(Status.m_Service);
-  if (!Trial || Trial->order().m_TargetVersion != Status.m_TargetVersion)
+  if (!Trial || m_TrialNumbers[Status.m_Service] != Write.m_TrialNumber)
     return;
   if (Trial->state() == TrialState::Running)
     Trial->setState(Status.m_State);
--- a/packages/gateway/src/rollout_coordinator.h
+++ b/packages/gateway/src/rollout_coordinator.h
@@ -55,6 +55,7 @@
   struct StatusWrite {
     TrialStatus m_Status;
     double m_Evidence = 0.0;
+    std::uint64_t m_TrialNumber = 0;
     std::uint64_t m_Restores = 0; ///< Restores of the store before it.
   };
 
@@ -86,6 +87,7 @@
   std::set<ServiceId> m_UnconfirmedOrders;
   /// States that the store holds for the current rollouts, as far as known.
   std::map<ServiceId, TrialState> m_StoredStates;
+  std::map<ServiceId, std::uint64_t> m_TrialNumbers; ///< Number of the service's current trial.
   std::map<ServiceId, TimePoint> m_TrialWriteDueSince;
   std::map<ServiceId, std::uint64_t> m_StatusRowVersions;
 };
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -452,3 +452,24 @@
   CHECK(trial().state() == TrialState::RolledBack);
   CHECK(m_Store.m_Statuses.size() == 1);
 }
+
+// Guards against a new rollout that is decided by the late answer to a write of the one before.
+TEST_CASE_FIXTURE(Fixture,
+                  "the answer to a status write of an earlier rollout does not decide the next one") {
+  startTrial();
+  recordFailures(6);
+  m_Store.m_HoldsWrites = true;
+  run(milliseconds(400));
+  REQUIRE(m_Store.m_Statuses.size() == 1);
+  SUBCASE("the same order again") { m_Rollouts->applyOrder(orderTo("v2", 30)); }
+  SUBCASE("another order after a restore") {
+    TrialOrder Other = orderTo("v2", 20);
+    Other.m_TimeLimit = seconds(50);
+    m_Rollouts->onStoreRestored();
+    readOrders({Other});
+  }
+  readStatuses({});
+  m_Store.m_HoldsWrites = false;
+  run(milliseconds(200));
+  CHECK(trial().state() == TrialState::Running);
+}
