gateway: evidence on a version is published again after a restore

What callers would see: the evidence that the daemons had published on a bad version was lost with the restore, and none published it again unless it rose further: daemons that started later, or that had not read it yet, went on without it, and the version stayed in trial longer (EXPOSURE, roll-back).

Cause: a daemon publishes when its evidence has risen above what it published before, whether or not the store still holds that.

Fix: onStoreRestored() marks the evidence of all rollouts as unpublished. It is published once the rollout's order has been read again, so that it carries the order's new row version.

Evidence: the new test of the gateway failed on the code before: REQUIRE( m_Store.m_Evidence.size() == 2 ) is NOT correct! values: REQUIRE( 1 == 2 ) It passes now, as does the new test of VersionTrial. Without evidence nothing is published (a test that passed before, too).

--- a/packages/forward/include/bulrushpitch/forward/version_trial.h
+++ b/packages/forward/include/bulrushpitch/forward/version_trial.h
@@ -97,6 +97,8 @@
   /// @brief Returns this daemon's evidence for publication if it has risen since the last call or, shortly
   /// before the version can be completed, if it has counted further responses.
   std::optional<std::vector<RouteEvidence>> takeUnpublishedEvidence(TimePoint Now);
+  /// @brief Marks this daemon's evidence as unpublished, as the published evidence was lost.
+  void publishEvidenceAgain();
 
 private:
   /// Counts of one route, or of all routes together.
--- a/packages/forward/src/version_trial.cpp
+++ b/packages/forward/src/version_trial.cpp
@@ -200,6 +200,11 @@
   return Update.empty() ? std::nullopt : std::optional(std::move(Update));
 }
 
+void VersionTrial::publishEvidenceAgain() {
+  m_EvidenceAtLastTake = 0.0;
+  m_LastPublishedResponses = 0;
+}
+
 VersionRule VersionTrial::ruleFor(std::uint64_t RequestHash, bool InSession, TimePoint Now) {
   m_HasSessions = m_HasSessions || InSession;
   VersionRule Rule;
--- a/packages/forward/tests/version_trial_test.cpp
+++ b/packages/forward/tests/version_trial_test.cpp
@@ -307,6 +307,22 @@
   CHECK_FALSE(m_Trial.hasRollbackEvidence());
 }
 
+// Guards against a version that can't be judged, as the published evidence and counts were lost.
+TEST_CASE_FIXTURE(Fixture, "evidence and counts that were published can be published again, once") {
+  for (int Response = 0; Response < 20; ++Response)
+    recordSample(false, false);
+  bool Failed = false;
+  TimePoint Now = m_Start;
+  SUBCASE("evidence") { Failed = true; }
+  SUBCASE("counts") { Now = m_Start + seconds(20); }
+  recordSample(true, Failed);
+  REQUIRE(m_Trial.takeUnpublishedEvidence(Now));
+  CHECK_FALSE(m_Trial.takeUnpublishedEvidence(Now));
+  m_Trial.publishEvidenceAgain();
+  CHECK(m_Trial.takeUnpublishedEvidence(Now));
+  CHECK_FALSE(m_Trial.takeUnpublishedEvidence(Now));
+}
+
 TEST_CASE_FIXTURE(Fixture, "another daemon's evidence decays") {
   for (int PeerNumber = 0; PeerNumber < 4; ++PeerNumber)
     receivePeerEvidence(PeerNumber, 2.6, 3, m_Start);
--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -37,8 +37,10 @@
     : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)) {}
 
 void RolloutCoordinator::onStoreRestored() {
-  for (const auto &Entry : m_State.m_Trials)
+  for (auto &Entry : m_State.m_Trials) {
     m_UnconfirmedOrders.insert(Entry.first);
+    Entry.second.publishEvidenceAgain();
+  }
   m_StatusRowVersions.clear();
   m_StoredStates.clear();
   m_TrialWriteDueSince.clear();
@@ -193,7 +195,7 @@
 
 void RolloutCoordinator::publishEvidence(const ServiceId &Service, VersionTrial &Trial) {
   const TimePoint Now = m_Clock();
-  if (Trial.state() != TrialState::Running || Now < m_NextEvidenceAt)
+  if (Trial.state() != TrialState::Running || Now < m_NextEvidenceAt || !isOrderConfirmed(Service))
     return;
   std::optional<std::vector<RouteEvidence>> Routes = Trial.takeUnpublishedEvidence(Now);
   if (!Routes)
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -473,3 +473,27 @@
   run(milliseconds(200));
   CHECK(trial().state() == TrialState::Running);
 }
+
+// Guards against a bad version that stays in trial, as the daemons' evidence was lost with the restore.
+TEST_CASE_FIXTURE(Fixture,
+                  "evidence is published again after a restore, for the order as it is written then") {
+  startTrial();
+  recordFailures(1);
+  run(seconds(2));
+  REQUIRE(m_Store.m_Evidence.size() == 1);
+  m_Rollouts->onStoreRestored();
+  run(seconds(2));
+  CHECK(m_Store.m_Evidence.size() == 1);
+  readOrders({orderTo("v2", 17)});
+  readStatuses({statusOf(TrialState::Running, 18)});
+  run(seconds(2));
+  REQUIRE(m_Store.m_Evidence.size() == 2);
+  CHECK(m_Store.m_Evidence.back().m_OrderVersion == 17);
+}
+
+TEST_CASE_FIXTURE(Fixture, "without evidence nothing is published after a restore") {
+  startTrial();
+  restoreWithStatus(21);
+  run(seconds(2));
+  CHECK(m_Store.m_Evidence.empty());
+}
