gateway: evidence that was read before the order it belongs to is read again

What callers would see: after a restore a daemon may read the other daemons' evidence, which carries the new row version of the order, before it has read the order. It passed over that evidence and never saw it again, so that a version whose failures are spread over the daemons stayed in trial.

Cause: evidence is bound to the order's row version, and a watch returns each change once.

Fix: when an order gets a new row version, all evidence is read once more.

Evidence: with takeEvidenceSnapshotNeeded() returning false, which is the behaviour before, the new test failed: CHECK( trial().verdict(m_Now) == TrialState::RolledBack ) is NOT correct! values: CHECK( 0 == 2 ) It passes now.

--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -145,7 +145,11 @@
     Table.m_Read = &ControlStore::readEvidence;
     Table.m_Watch = &ControlStore::watchEvidence;
     Table.m_Apply = [this](const Feed &, const EvidenceChanges &Changes) { m_Rollouts->apply(Changes); };
-    Table.m_Prepare = [this](Feed &) { return m_Rollouts->needsEvidence(); };
+    Table.m_Prepare = [this](Feed &Evidence) {
+      if (m_Rollouts->takeEvidenceSnapshotNeeded())
+        Evidence.m_Cursor.reset();
+      return m_Rollouts->needsEvidence();
+    };
     return Table;
   }
 
--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -64,6 +64,7 @@
   m_StoredStates.erase(Order.m_Service);
   m_TrialSnapshotNeeded = true;
   if (SameOrder && Unconfirmed) {
+    m_EvidenceSnapshotNeeded = m_EvidenceSnapshotNeeded || !SameRow;
     Existing->setOrderVersion(Order.m_OrderVersion);
     m_Log.add(LogClass::State, "rollout_continued",
               {{"service", std::string_view(Order.m_Service.value())},
@@ -147,6 +148,10 @@
   return std::exchange(m_TrialSnapshotNeeded, false);
 }
 
+bool RolloutCoordinator::takeEvidenceSnapshotNeeded() {
+  return std::exchange(m_EvidenceSnapshotNeeded, false);
+}
+
 bool RolloutCoordinator::needsEvidence() const {
   return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(), [this](const auto &Entry) {
     return Entry.second.state() == TrialState::Running && Entry.second.hasResponses() &&
--- a/packages/gateway/src/rollout_coordinator.h
+++ b/packages/gateway/src/rollout_coordinator.h
@@ -42,6 +42,8 @@
   bool takeStatusSnapshotNeeded();
   /// @return whether the statuses have to be read or watched
   bool needsStatuses() const;
+  /// @return whether the evidence has to be read as a full snapshot; the caller then does so
+  bool takeEvidenceSnapshotNeeded();
   /// @return whether the other daemons' evidence has to be watched
   bool needsEvidence() const;
   /// @brief Writes statuses and evidence that are due. Called periodically.
@@ -78,6 +80,9 @@
   /// Read all rollout statuses again. Set by a new order, as its status may have been read and ignored before
   /// the order was known.
   bool m_TrialSnapshotNeeded = true;
+  /// Read all evidence again. Set when an order got a new row version, as evidence that is bound to it may
+  /// have been read and ignored before.
+  bool m_EvidenceSnapshotNeeded = false;
   Recovery m_Recovery = Recovery::None;
   std::uint64_t m_Restores = 0;
   bool m_TrialWriteInProgress = false;
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -497,3 +497,28 @@
   run(seconds(2));
   CHECK(m_Store.m_Evidence.empty());
 }
+
+// Guards against evidence that is passed over, as it was read before the order that it belongs to.
+TEST_CASE_FIXTURE(Fixture, "evidence for an order that is written again counts, whichever is read first") {
+  startTrial();
+  recordFailures(1);
+  CHECK_FALSE(m_Rollouts->takeEvidenceSnapshotNeeded());
+  EvidenceChanges Peer;
+  Peer.m_Updated = {
+      TrialEvidence{TestService, VersionId("v2"), 17, InstanceId("d1"), {RouteEvidence{"", 9.0, 9, 5}}}};
+  m_Rollouts->onStoreRestored();
+  m_Rollouts->apply(Peer);
+  readOrders({orderTo("v2", 17)});
+  if (m_Rollouts->takeEvidenceSnapshotNeeded())
+    m_Rollouts->apply(Peer);
+  CHECK_FALSE(m_Rollouts->takeEvidenceSnapshotNeeded());
+  readStatuses({statusOf(TrialState::Running, 18)});
+  CHECK(trial().verdict(m_Now) == TrialState::RolledBack);
+}
+
+TEST_CASE_FIXTURE(Fixture, "evidence is not read again for an order that survived the restore") {
+  startTrial();
+  recordFailures(1);
+  restoreWithStatus(21);
+  CHECK_FALSE(m_Rollouts->takeEvidenceSnapshotNeeded());
+}
