gateway: evidence counts only for the version that it was observed on

What callers would see: evidence on one version counted against another whose order got the same row version from a restored store: a good version could be rolled back.

Cause: evidence was matched by the row version of the order alone; a write that began before a restore may reach the store after it.

Fix: the target version must match, too.

Evidence: the new test failed on the code before: CHECK( trial().verdict(m_Now) == TrialState::Running ) is NOT correct! values: CHECK( 2 == 0 ) It passes now.

--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -136,7 +136,8 @@
 void RolloutCoordinator::apply(const EvidenceChanges &Changes) {
   for (const TrialEvidence &Evidence : Changes.m_Updated) {
     VersionTrial *Trial = m_State.trialOf(Evidence.m_Service);
-    if (Trial && Evidence.m_OrderVersion == Trial->order().m_OrderVersion &&
+    if (Trial && Evidence.m_TargetVersion == Trial->order().m_TargetVersion &&
+        Evidence.m_OrderVersion == Trial->order().m_OrderVersion &&
         Evidence.m_Daemon != m_State.m_PlacementContext.m_Instance)
       Trial->onPeerEvidence(Evidence.m_Daemon, Evidence.m_Routes, m_Clock());
   }
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -522,3 +522,13 @@
   restoreWithStatus(21);
   CHECK_FALSE(m_Rollouts->takeEvidenceSnapshotNeeded());
 }
+
+// Guards against evidence on one version that counts against another, as a row version was given out twice.
+TEST_CASE_FIXTURE(Fixture, "evidence on another version does not count, whatever its order's row version") {
+  startTrial();
+  EvidenceChanges Peer;
+  Peer.m_Updated = {
+      TrialEvidence{TestService, VersionId("v3"), 20, InstanceId("d1"), {RouteEvidence{"", 9.0, 9, 5}}}};
+  m_Rollouts->apply(Peer);
+  CHECK(trial().verdict(m_Now) == TrialState::Running);
+}
