--- a/packages/forward/include/bulrushpitch/forward/version_trial.h
+++ b/packages/forward/include/bulrushpitch/forward/version_trial.h
@@ -61,6 +61,10 @@
   void confirmDecisionsRead() { m_DecisionsRead = true; }
   TrialState state() const { return m_State; }
   const TrialOrder &order() const { return m_Order; }
+  /// @return whether an order is the same, whatever the version of its row
+  bool hasSameOrder(const TrialOrder &Order) const;
+  /// @brief Sets the row version of the order, which the operator has written again. The trial continues.
+  void setOrderVersion(std::uint64_t OrderVersion) { m_Order.m_OrderVersion = OrderVersion; }
 
   /// @brief Records that an upstream of the new version is registered. The exposure limit is a share of all
   /// requests since the order. So the later the first upstream is registered, the larger a share of the
@@ -93,6 +97,8 @@
   /// @brief Returns this daemon's evidence for publication if it has risen since the last call or, shortly
   /// before the version can be completed, if it has counted further responses.
   std::optional<std::vector<RouteEvidence>> takeUnpublishedEvidence(TimePoint Now);
+  /// @brief Marks this daemon's evidence as unpublished, as the published evidence was lost.
+  void publishEvidenceAgain();
 
 private:
   /// Counts of one route, or of all routes together.
--- a/packages/forward/src/version_trial.cpp
+++ b/packages/forward/src/version_trial.cpp
@@ -84,6 +84,11 @@
   RouteTally.m_Evidence = std::max(0.0, RouteTally.m_Evidence + (Bad ? Ratios.m_Bad : Ratios.m_Good));
 }
 
+bool VersionTrial::hasSameOrder(const TrialOrder &Order) const {
+  return Order.m_Service == m_Order.m_Service && Order.m_TargetVersion == m_Order.m_TargetVersion &&
+         Order.m_TimeLimit == m_Order.m_TimeLimit;
+}
+
 void VersionTrial::onUpstreamRegistered(TimePoint Now) {
   if (m_HasUpstream)
     return;
@@ -195,6 +200,11 @@
   return Update.empty() ? std::nullopt : std::optional(std::move(Update));
 }
 
+void VersionTrial::publishEvidenceAgain() {
+  m_EvidenceAtLastTake = 0.0;
+  m_LastPublishedResponses = 0;
+}
+
 VersionRule VersionTrial::ruleFor(std::uint64_t RequestHash, bool InSession, TimePoint Now) {
   m_HasSessions = m_HasSessions || InSession;
   VersionRule Rule;
