Gateway: a cursor belongs to an era of the store; a restored store is read again

What callers saw: after the store came back from a copy, a configuration or an evacuation that the operator wrote again was not in force, at times never: the daemon served by the old one.

Cause: the store gives row versions out again after a restore, and the header Store-Era, which says so, was read nowhere. A watch from a cursor in the reissued range gets only changes above the cursor. It gets 410 only if it asks before the store's version has passed the cursor again. A response prepared before the restore and delivered after it was applied as well, and moved the cursor back into that range.

Why this works: the adapter reports the era of each response, whatever its status, before the call returns. StoreEraTracker (forward, pure) says whether that is a restore, and whether a response may be applied: only one of the current era, and from a watch only if its cursor is of the same era. All cursors of an older era are dropped at once, and the wait for open long polls ends, after a pause of 100 to 200 ms that spreads the daemons' calls; an abandoned poll ends by itself. ControlService::onStoreRestored() is called once per restore; the first changes of each table after it carry m_AfterRestore. store_restored and store_response_dropped in the log and bulrushpitch_store_restores_count show it. A response without the header counts as era 0, so that a store without eras behaves as before.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -85,6 +85,8 @@
         .set(static_cast<double>(Counters.m_Reads + Counters.m_Writes));
     m_Metrics.gauge("bulrushpitch_store_failures_count", "Calls to the store that failed or were refused.")
         .set(static_cast<double>(Counters.m_Failures));
+    m_Metrics.gauge("bulrushpitch_store_restores_count", "Restores of the store noticed since the start.")
+        .set(static_cast<double>(m_State.m_StoreEras.restores()));
     m_Metrics.gauge("bulrushpitch_upstreams_count", "Upstreams in the registry as known here.")
         .set(static_cast<double>(m_State.m_Pool.size()));
     m_Metrics.gauge("bulrushpitch_quarantined_prompt_parts_count", "Parts of prompts in quarantine.")
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include "bulrushpitch/forward/prefill_time_estimator.h"
 #include "bulrushpitch/forward/prompt_quarantine.h"
 #include "bulrushpitch/forward/retry_window.h"
+#include "bulrushpitch/forward/store_era.h"
 #include "bulrushpitch/forward/upstream_pool.h"
 #include "bulrushpitch/forward/version_trial.h"
 
@@ -52,6 +53,7 @@
 
   std::shared_ptr<const ConfigIndex> m_ConfigIndex; ///< Null until a configuration has been read.
   bool m_RegistryRead = false;
+  StoreEraTracker m_StoreEras;
   UpstreamPool m_Pool;
   std::map<ServiceId, VersionTrial> m_Trials;
 
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -10,6 +10,7 @@
 #include "bulrushpitch/forward/daemon_membership.h"
 #include "bulrushpitch/forward/objects.h"
 #include "bulrushpitch/forward/prompt_quarantine.h"
+#include "bulrushpitch/forward/store_era.h"
 #include "bulrushpitch/net/http_message.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -19,6 +20,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bulrushpitch {
@@ -73,6 +75,10 @@
 struct OrderChanges {
   bool m_FullSnapshot = false; ///< A full snapshot of the orders, not a delta.
   std::uint64_t m_Cursor = 0;  ///< Cursor for the next watch.
+  StoreEra m_Era;              ///< Era of the response; the cursor belongs to it.
+  /// The first full snapshot after a restore of the store: rows may be older than those known, or missing.
+  /// Set by the control service.
+  bool m_AfterRestore = false;
   std::optional<ForwardConfig> m_Config;
   std::vector<DomainId> m_DomainsOut;
   std::vector<DomainId> m_DomainsBack;
@@ -84,6 +90,8 @@
 struct UpstreamChanges {
   bool m_FullSnapshot = false;
   std::uint64_t m_Cursor = 0;
+  StoreEra m_Era;
+  bool m_AfterRestore = false;
   std::vector<RegisteredUpstream> m_Updated;
   std::vector<UpstreamId> m_Removed;
 };
@@ -92,6 +100,8 @@
 struct TrialChanges {
   bool m_FullSnapshot = false;
   std::uint64_t m_Cursor = 0;
+  StoreEra m_Era;
+  bool m_AfterRestore = false;
   std::vector<TrialStatus> m_Updated;
 };
 
@@ -99,6 +109,8 @@
 struct EvidenceChanges {
   bool m_FullSnapshot = false;
   std::uint64_t m_Cursor = 0;
+  StoreEra m_Era;
+  bool m_AfterRestore = false;
   std::vector<TrialEvidence> m_Updated;
 };
 
@@ -106,6 +118,8 @@
 struct PromptEvidenceChanges {
   bool m_FullSnapshot = false;
   std::uint64_t m_Cursor = 0;
+  StoreEra m_Era;
+  bool m_AfterRestore = false;
   std::vector<PromptEvidence> m_Updated; ///< Empty evidence: the daemon has withdrawn it.
 };
 
@@ -116,7 +130,13 @@
 /// cursor.
 class ControlStore {
 public:
+  /// Called with the era of each response, also one to a write or with an error, before the call returns.
+  /// Table: the name of the table called, for the log.
+  using EraHook = std::function<void(StoreEra Era, std::string_view Table)>;
+
   virtual ~ControlStore() = default;
+  /// @brief Sets who is told the era of each response.
+  virtual void reportEras(EraHook OnEra) = 0;
   virtual boost::asio::awaitable<Expected<OrderChanges>> readOrders() = 0;
   virtual boost::asio::awaitable<Expected<OrderChanges>> watchOrders(std::uint64_t Cursor,
                                                                      Duration Timeout) = 0;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -1,6 +1,7 @@
 #include "bulrushpitch/gateway/control_service.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,8 @@
 constexpr Duration CrashPublishInterval = milliseconds(500);
 constexpr Duration MinBackoff = milliseconds(100);
 constexpr Duration MaxBackoff = milliseconds(800);
+/// Far above the timeout of any call.
+constexpr Duration CallTimeLimit = std::chrono::minutes(10);
 /// Registry entries that expired while the store was unavailable are written again within this time after its
 /// recovery.
 constexpr Duration EntryGracePeriod = milliseconds(2200);
@@ -72,6 +75,10 @@
             Context, [] { return TickInterval; }, [this] { onTick(); }) {}
 
   void start() {
+    m_Store.reportEras([Weak = weak_from_this()](StoreEra Era, std::string_view Table) {
+      if (const std::shared_ptr<Impl> Self = Weak.lock())
+        Self->observeEra(Era, Table);
+    });
     spawn(m_Context, follow(shared_from_this(), orders()));
     spawn(m_Context, follow(shared_from_this(), upstreams()));
     spawn(m_Context, follow(shared_from_this(), trialStatuses()));
@@ -92,9 +99,10 @@
     std::string_view m_Name;
     Duration m_Interval = WatchInterval; ///< Pause between two calls.
     Duration m_WatchTimeout = WatchTimeout;
-    std::optional<std::uint64_t> m_Cursor = std::nullopt; ///< Empty: read the full snapshot next.
+    std::optional<StoreCursor> m_Cursor = std::nullopt; ///< Empty: read the full snapshot next.
     Duration m_Backoff{};
     bool m_Unavailable = false;
+    std::optional<StoreEra> m_AppliedEra = std::nullopt; ///< Era of the last response applied.
   };
 
   /// One watched table: its calls, and what the gateway does with its changes.
@@ -186,27 +194,92 @@
         co_await sleepFor(Self->m_Context, TickInterval);
         continue;
       }
-      const Expected<Changes> Outcome = co_await Self->callNext(Table);
-      if (Outcome)
-        Table.m_Apply(Table.m_Feed, *Outcome);
-      co_await Self->waitBeforeNextCall(Table.m_Feed, callResultOf(Outcome));
+      Answer<Changes> Outcome = co_await Self->callNext(Table);
+      if (!Outcome || (*Outcome && !Self->accepts(Table.m_Feed, (*Outcome)->m_Era))) {
+        Table.m_Feed.m_Cursor.reset();
+        co_await sleepFor(Self->m_Context, MinBackoff + Self->randomPause());
+        continue;
+      }
+      if (*Outcome)
+        Self->applyAccepted(Table, **Outcome);
+      co_await Self->waitBeforeNextCall(Table.m_Feed, callResultOf(*Outcome));
     }
   }
 
+  /// Outcome of a call; nothing if a restore of the store made the call pointless.
+  template <typename Changes> using Answer = std::optional<Expected<Changes>>;
+  template <typename Changes> using PendingAnswer = OneShot<Answer<Changes>>;
+
   /// Reads the full snapshot, or waits for changes since the last call.
+  template <typename Changes> asio::awaitable<Answer<Changes>> callNext(WatchedTable<Changes> &Table) {
+    Feed &Followed = Table.m_Feed;
+    if (Followed.m_Cursor && m_State.m_StoreEras.isStale(Followed.m_Cursor->m_Era))
+      Followed.m_Cursor.reset();
+    if (!Followed.m_Cursor)
+      co_return co_await Table.m_Read(m_Store);
+    const std::shared_ptr<PendingAnswer<Changes>> Pending =
+        std::make_shared<PendingAnswer<Changes>>(m_Context);
+    m_OpenPolls[Followed.m_Name] = [Pending] { Pending->set(std::nullopt); };
+    spawn(m_Context,
+          answer(Table.m_Watch(m_Store, Followed.m_Cursor->m_Version, Followed.m_WatchTimeout), Pending));
+    const std::optional<Answer<Changes>> Outcome = co_await Pending->wait(CallTimeLimit);
+    m_OpenPolls.erase(Followed.m_Name);
+    co_return Outcome.value_or(std::nullopt);
+  }
+
   template <typename Changes>
-  asio::awaitable<Expected<Changes>> callNext(const WatchedTable<Changes> &Table) {
-    const std::optional<std::uint64_t> &Cursor = Table.m_Feed.m_Cursor;
-    return Cursor ? Table.m_Watch(m_Store, *Cursor, Table.m_Feed.m_WatchTimeout) : Table.m_Read(m_Store);
+  static asio::awaitable<void> answer(asio::awaitable<Expected<Changes>> Call,
+                                      std::shared_ptr<PendingAnswer<Changes>> Pending) {
+    Answer<Changes> Outcome = co_await std::move(Call);
+    Pending->set(std::move(Outcome));
+  }
+
+  /// Returns whether a response is still valid. Otherwise the table has to be read again.
+  bool accepts(const Feed &Table, StoreEra Era) {
+    observeEra(Era, Table.m_Name);
+    if (m_State.m_StoreEras.accepts(Era, Table.m_Cursor))
+      return true;
+    m_Log.add(LogClass::State, "store_response_dropped",
+              {{"table", Table.m_Name},
+               {"era", static_cast<std::int64_t>(Era.value())},
+               {"current", static_cast<std::int64_t>(m_State.m_StoreEras.current().value())}});
+    return false;
+  }
+
+  template <typename Changes> void applyAccepted(WatchedTable<Changes> &Table, Changes &Accepted) {
+    Feed &Followed = Table.m_Feed;
+    Accepted.m_AfterRestore = Followed.m_AppliedEra && *Followed.m_AppliedEra != Accepted.m_Era;
+    Followed.m_AppliedEra = Accepted.m_Era;
+    Table.m_Apply(Followed, Accepted);
+  }
+
+  void observeEra(StoreEra Era, std::string_view Table) {
+    if (const std::optional<StoreEra> Before = m_State.m_StoreEras.observe(Era))
+      onStoreRestored(*Before, Era, Table);
+  }
+
+  /// Called once per restore of the store, before anything that was read after it is applied. Each table is
+  /// then read again; its first changes have m_AfterRestore set.
+  void onStoreRestored(StoreEra Before, StoreEra Now, std::string_view Table) {
+    m_Log.add(LogClass::State, "store_restored",
+              {{"table", Table},
+               {"old_era", static_cast<std::int64_t>(Before.value())},
+               {"new_era", static_cast<std::int64_t>(Now.value())}});
+    for (const auto &Poll : m_OpenPolls)
+      Poll.second();
   }
 
+  /// Spreads the calls of several tables and daemons.
+  Duration randomPause() { return Duration(m_Random() % MinBackoff.count()); }
+
   /// Result of one call, for scheduling the next one.
   struct CallResult {
-    std::uint64_t m_Cursor = 0;
+    StoreCursor m_Cursor;
     const Error *m_Failure = nullptr;
   };
   template <typename Changes> static CallResult callResultOf(const Expected<Changes> &Outcome) {
-    return Outcome ? CallResult{Outcome->m_Cursor, nullptr} : CallResult{0, &Outcome.error()};
+    return Outcome ? CallResult{{Outcome->m_Era, Outcome->m_Cursor}, nullptr}
+                   : CallResult{{}, &Outcome.error()};
   }
 
   static asio::awaitable<void> followDaemons(std::shared_ptr<Impl> Self) {
@@ -286,7 +359,7 @@
     }
     Table.m_Unavailable = true;
     Table.m_Backoff = std::clamp(Table.m_Backoff * 2, MinBackoff, MaxBackoff);
-    co_await sleepFor(m_Context, Table.m_Backoff + Duration(m_Random() % MinBackoff.count()));
+    co_await sleepFor(m_Context, Table.m_Backoff + randomPause());
   }
 
   void apply(const OrderChanges &Changes) {
@@ -413,7 +486,7 @@
   static asio::awaitable<void> readPromptEvidence(std::shared_ptr<Impl> Self) {
     const Expected<PromptEvidenceChanges> Read = co_await Self->m_Store.readPromptEvidence();
     Self->logFailure("crashes_not_read", Read);
-    if (Read)
+    if (Read && !Self->m_State.m_StoreEras.isStale(Read->m_Era))
       Self->apply(*Read);
   }
 
@@ -565,6 +638,7 @@
   ConfigHook m_OnConfig;
   Ticker m_Ticker;
   bool m_Stopped = false;
+  std::map<std::string_view, std::function<void()>> m_OpenPolls; ///< Ends the wait for a long poll, by table.
   std::optional<TimePoint> m_RegistryRecoveredAt;
   /// Read all rollout statuses again. Set by a new order, as its status may have been read and ignored before
   /// the order was known.
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -12,12 +12,13 @@
 
 namespace {
 
-/// An in-memory store whose tables a test changes. It can be unavailable, lose its change history, or reject
-/// writes.
+/// An in-memory store whose tables a test changes. It can be unavailable, lose its change history, reject
+/// writes, or be restored.
 class FakeStore : public ControlStore {
 public:
   explicit FakeStore(asio::io_context &Context) : m_Context(Context) {}
 
+  void reportEras(EraHook OnEra) override { m_OnEra = std::move(OnEra); }
   asio::awaitable<Expected<OrderChanges>> readOrders() override {
     ++m_OrderReads;
     if (m_Unavailable)
@@ -25,6 +26,7 @@
     OrderChanges Snapshot = m_Orders;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     co_return Snapshot;
   }
   asio::awaitable<Expected<OrderChanges>> watchOrders(std::uint64_t Cursor, Duration Timeout) override {
@@ -36,6 +38,7 @@
     UpstreamChanges Snapshot = m_Upstreams;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     co_return Snapshot;
   }
   asio::awaitable<Expected<UpstreamChanges>> watchUpstreams(std::uint64_t Cursor, Duration Timeout) override {
@@ -47,6 +50,7 @@
     TrialChanges Snapshot;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     Snapshot.m_Updated = m_Statuses;
     co_return Snapshot;
   }
@@ -66,6 +70,7 @@
     EvidenceChanges Snapshot;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     Snapshot.m_Updated = m_PeerEvidence;
     co_return Snapshot;
   }
@@ -78,6 +83,7 @@
     PromptEvidenceChanges Snapshot;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     Snapshot.m_Updated = m_PromptEvidence;
     co_return Snapshot;
   }
@@ -107,6 +113,8 @@
     co_return std::vector<ListedDaemon>{{InstanceId("d0"), 1}, {InstanceId("d1"), 2}};
   }
 
+  EraHook m_OnEra;
+  StoreEra m_Era{1};
   bool m_Unavailable = false;
   bool m_HistoryLost = false;
   bool m_RejectsWrites = false;
@@ -151,6 +159,9 @@
       Next = Queue.front();
       Queue.pop_front();
     }
+    // Changes of an older era were prepared before a restore.
+    if (Next.m_Era == StoreEra())
+      Next.m_Era = m_Era;
     co_return Next;
   }
 
@@ -200,6 +211,11 @@
     runFor(milliseconds(100));
   }
   void runFor(milliseconds Interval) { m_Context.run_for(Interval); }
+  /// A response to any call shows the era.
+  void showEra(StoreEra Era) {
+    m_Store.m_Era = Era;
+    m_Store.m_OnEra(Era, "daemons");
+  }
   std::uint64_t revision() const { return m_State->m_ConfigIndex->config().m_Revision.value(); }
 
   void orderTrial() {
@@ -442,3 +458,37 @@
   runFor(milliseconds(700));
   CHECK(m_Store.m_CrashWatchTimeout == Duration(milliseconds(6000)));
 }
+
+// Guards against state that stays as before a restore, in tables whose own calls have not shown it yet.
+TEST_CASE_FIXTURE(Fixture, "an era seen in any response has the tables read again once, and is logged") {
+  start();
+  const int ReadsBefore = m_Store.m_OrderReads;
+  m_Store.m_Upstreams.m_Updated = {registeredUpstream("c")};
+  showEra(StoreEra(3));
+  showEra(StoreEra(3));
+  runFor(milliseconds(1600));
+  CHECK(m_Store.m_OrderReads == ReadsBefore + 1);
+  CHECK(m_State->m_Pool.find(UpstreamId("c")));
+  CHECK(m_State->m_StoreEras.restores() == 1);
+  m_Log->flush();
+  CHECK(m_LogText.find("\"event\":\"store_restored\",\"table\":\"daemons\",\"old_era\":1,\"new_era\":3") !=
+        std::string::npos);
+}
+
+// Guards against a delayed response that brings back what a restore has undone, or moves the cursor.
+TEST_CASE_FIXTURE(Fixture, "changes of an older era that arrive last are dropped") {
+  start();
+  showEra(StoreEra(2));
+  runFor(milliseconds(700));
+  const int ReadsBefore = m_Store.m_OrderReads;
+  OrderChanges Late;
+  Late.m_Era = StoreEra(1);
+  Late.m_Cursor = 90;
+  Late.m_DomainsOut = {DomainId("west-b")};
+  m_Store.m_NewOrders.push_back(Late);
+  runFor(milliseconds(700));
+  CHECK(m_State->m_Pool.domainsOut().empty());
+  CHECK(m_Store.m_OrderReads == ReadsBefore + 1);
+  m_Log->flush();
+  CHECK(m_LogText.find("store_response_dropped") != std::string::npos);
+}
--- a/packages/platform/include/bulrushpitch/platform/detail/platform_client.h
+++ b/packages/platform/include/bulrushpitch/platform/detail/platform_client.h
@@ -5,6 +5,7 @@
 #include "bulrushpitch/net/http_client.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -30,6 +31,9 @@
 /// says that the write did not run, otherwise `Unknown`.
 class PlatformClient {
 public:
+  /// Called for each response, whatever its status.
+  using ResponseHook = std::function<void(const HttpResponse &)>;
+
   /// @param Service name of the service in errors, for example "table service"
   PlatformClient(boost::asio::io_context &Context, std::string Service, Endpoint Address, Duration Timeout);
 
@@ -38,8 +42,9 @@
     return call(std::move(Request), CallEffect, m_Timeout);
   }
   /// @param Timeout overrides the client's timeout
+  /// @param OnResponse may be empty
   boost::asio::awaitable<Expected<HttpResponse>> call(HttpRequest Request, Effect CallEffect,
-                                                      Duration Timeout);
+                                                      Duration Timeout, ResponseHook OnResponse = {});
 
   /// @brief Adds service, address and `Ran` to the error of a decoder that read this service's response.
   template <typename T> Expected<T> withErrorContext(Expected<T> Outcome, Effect CallEffect) {
--- a/packages/platform/src/platform_client.cpp
+++ b/packages/platform/src/platform_client.cpp
@@ -19,12 +19,14 @@
       m_Timeout(Timeout) {}
 
 asio::awaitable<Expected<HttpResponse>> PlatformClient::call(HttpRequest Request, Effect CallEffect,
-                                                             Duration Timeout) {
+                                                             Duration Timeout, ResponseHook OnResponse) {
   ++(CallEffect == Effect::Write ? m_Counters.m_Writes : m_Counters.m_Reads);
   Expected<HttpResponse> Response =
       co_await m_Http.exchange(m_Address, std::move(Request), Timeout, MaxResponseBytes);
   if (!Response)
     co_return transportError(Response.error(), CallEffect);
+  if (OnResponse)
+    OnResponse(*Response);
   if (Response->m_Status < 200 || Response->m_Status > 299)
     co_return statusError(*Response, CallEffect);
   co_return Response;
