Gateway: no conditional write on a row version of an older era of the store

What callers would see: a rollout decided over a status that the restore had replaced, or a live daemon taken off the list, so that the shares of the others no longer add up: after a restore the version that a daemon expects a row to have may belong to another content.

Cause: the expected row version was kept without the era in which it was read.

Evidence, on the code before: a rollout state is not written on a row version of an older era: CHECK( m_Store.m_WrittenTrials.size() == WritesBefore ) values: CHECK( 1 == 0 ) CHECK( m_Store.m_WrittenTrials[WritesBefore].m_RowVersion == 0 ) values: CHECK( 25 == 0 ) an expired daemon is not removed on a row version of an older era (the era shows between list and removal): CHECK( (m_Store.m_DaemonRemovals > 0) == !Restored ) values: CHECK( true == false ) The unit test of the membership came with the fix and was not run on the code before, which has no such member.

The first rollout statuses after a restore replace all row versions known, so that a status which is missing in the copy is expected to be absent. A list of daemons of an older era is dropped; in the membership, the same row version in a later era is a new heartbeat. A write that was sent before the restore is known can't be recalled.

--- a/packages/forward/include/bulrushpitch/forward/daemon_membership.h
+++ b/packages/forward/include/bulrushpitch/forward/daemon_membership.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpitch/core/clock.h"
 #include "bulrushpitch/core/ids.h"
+#include "bulrushpitch/forward/store_era.h"
 
 #include <cstdint>
 #include <map>
@@ -14,6 +15,7 @@
 struct ListedDaemon {
   InstanceId m_Id;
   std::uint64_t m_RowVersion = 0; ///< Increases with each heartbeat.
+  StoreEra m_Era{};               ///< Era in which the row was read.
 };
 
 /// @brief Tracks which of the listed daemons are alive, by their heartbeats.
@@ -34,6 +36,7 @@
 private:
   struct Heartbeat {
     std::uint64_t m_RowVersion = 0;
+    StoreEra m_Era{};
     TimePoint m_SeenAt{}; ///< When the row version was first read.
   };
   std::map<InstanceId, Heartbeat> m_Daemons;
--- a/packages/forward/src/daemon_membership.cpp
+++ b/packages/forward/src/daemon_membership.cpp
@@ -13,8 +13,9 @@
   std::map<InstanceId, Heartbeat> Updated;
   for (const ListedDaemon &Entry : Listed) {
     const auto Before = m_Daemons.find(Entry.m_Id);
-    const bool Unchanged = Before != m_Daemons.end() && Before->second.m_RowVersion == Entry.m_RowVersion;
-    Updated[Entry.m_Id] = Unchanged ? Before->second : Heartbeat{Entry.m_RowVersion, Now};
+    const bool Unchanged = Before != m_Daemons.end() && Before->second.m_RowVersion == Entry.m_RowVersion &&
+                           Before->second.m_Era == Entry.m_Era;
+    Updated[Entry.m_Id] = Unchanged ? Before->second : Heartbeat{Entry.m_RowVersion, Entry.m_Era, Now};
   }
   m_Daemons = std::move(Updated);
 }
@@ -31,7 +32,7 @@
   std::vector<ListedDaemon> Expired;
   for (const auto &Entry : m_Daemons)
     if (Now - Entry.second.m_SeenAt >= HeartbeatTimeout)
-      Expired.push_back({Entry.first, Entry.second.m_RowVersion});
+      Expired.push_back({Entry.first, Entry.second.m_RowVersion, Entry.second.m_Era});
   return Expired;
 }
 
--- a/packages/forward/tests/daemon_membership_test.cpp
+++ b/packages/forward/tests/daemon_membership_test.cpp
@@ -59,3 +59,18 @@
   Daemons.update({{Second, 6}}, Start + seconds(10));
   CHECK(Daemons.alive(Start + seconds(10)) == std::vector<InstanceId>{Second});
 }
+
+// Guards against a heartbeat that is missed because a restored store gives its row version out again.
+TEST_CASE(
+    "the same row version in a later era is a heartbeat, and an expired row has the era it was read in") {
+  DaemonMembership Daemons;
+  TimePoint Now{seconds(1000)};
+  Daemons.update({{First, 5, StoreEra(1)}}, Now);
+  Now += seconds(99);
+  Daemons.update({{First, 5, StoreEra(2)}}, Now);
+  Now += seconds(99);
+  CHECK(Daemons.alive(Now) == std::vector<InstanceId>{First});
+  Now += seconds(2);
+  REQUIRE(Daemons.expired(Now).size() == 1);
+  CHECK(Daemons.expired(Now).front().m_Era == StoreEra(2));
+}
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -296,7 +296,7 @@
       }
       const Expected<std::vector<ListedDaemon>> Listed = co_await Self->m_Store.readDaemons();
       Self->logFailure("daemons_not_read", Listed);
-      if (Listed) {
+      if (Listed && !Self->isOutdated(*Listed)) {
         Membership.update(*Listed, Self->m_Clock());
         Self->m_State.setDaemons(Membership.alive(Self->m_Clock()));
         co_await Self->removeExpired(Membership.expired(Self->m_Clock()));
@@ -305,6 +305,11 @@
     }
   }
 
+  /// Returns whether the list was read before a restore of the store.
+  bool isOutdated(const std::vector<ListedDaemon> &Listed) const {
+    return !Listed.empty() && m_State.m_StoreEras.isStale(Listed.front().m_Era);
+  }
+
   /// Removes the rows of expired daemons, on one daemon only. Otherwise the list of daemons would grow
   /// whenever daemons are replaced.
   asio::awaitable<void> removeExpired(std::vector<ListedDaemon> Expired) {
@@ -317,13 +322,31 @@
       PromptEvidence Withdrawn;
       Withdrawn.m_Daemon = Daemon.m_Id;
       logFailure("crashes_not_removed", co_await m_Store.writePromptEvidence(std::move(Withdrawn)));
-      const Expected<Done> Removed = co_await m_Store.removeDaemon(Daemon);
+      const Expected<Done> Removed = co_await removeDaemon(Daemon);
       const std::string Outcome = outcomeText(Removed, "removed");
       m_Log.add(LogClass::State, "daemon_lapsed",
                 {{"daemon", std::string_view(Daemon.m_Id.value())}, {"outcome", std::string_view(Outcome)}});
     }
   }
 
+  /// Error of a conditional write that is not sent: its row was read before a restore of the store.
+  static Error rowReplaced(std::string Step) {
+    return Error{ErrorCode::ConditionFailed, std::move(Step), "store", Ran::No,
+                 "the store was restored after the row was read"};
+  }
+
+  asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon Expired) {
+    if (m_State.m_StoreEras.isStale(Expired.m_Era))
+      co_return rowReplaced("remove daemon");
+    co_return co_await m_Store.removeDaemon(std::move(Expired));
+  }
+
+  asio::awaitable<Expected<Done>> writeTrial(TrialStatus Status) {
+    if (m_State.m_StoreEras.isStale(Status.m_Era))
+      co_return rowReplaced("write rollout status");
+    co_return co_await m_Store.writeTrial(std::move(Status));
+  }
+
   /// Text of an outcome for the log: what was done, or the error.
   static std::string outcomeText(const Expected<Done> &Outcome, std::string_view DoneText) {
     return Outcome ? std::string(DoneText) : Outcome.error().toString();
@@ -446,6 +469,9 @@
   }
 
   void apply(const TrialChanges &Changes) {
+    if (Changes.m_AfterRestore)
+      m_StatusRowVersions.clear();
+    m_StatusEra = Changes.m_Era;
     for (const TrialStatus &Status : Changes.m_Updated) {
       VersionTrial *Trial = m_State.trialOf(Status.m_Service);
       m_StatusRowVersions[Status.m_Service] = Status.m_RowVersion;
@@ -579,7 +605,8 @@
     m_TrialWriteInProgress = true;
     spawn(m_Context, writeTrialStatus(shared_from_this(),
                                       TrialStatus{Service, Trial.order().m_TargetVersion, Verdict,
-                                                  m_StatusRowVersions[Service]},
+                                                  m_StatusRowVersions[Service],
+                                                  m_StatusEra.value_or(m_State.m_StoreEras.current())},
                                       Trial.evidence()));
   }
 
@@ -613,7 +640,7 @@
 
   static asio::awaitable<void> writeTrialStatus(std::shared_ptr<Impl> Self, TrialStatus Status,
                                                 double Evidence) {
-    Expected<Done> Written = co_await Self->m_Store.writeTrial(Status);
+    Expected<Done> Written = co_await Self->writeTrial(Status);
     Self->m_TrialWriteInProgress = false;
     Self->m_NextTrialWriteAt = Self->m_Clock() + TrialWriteRetryInterval;
     const std::string Outcome = outcomeText(Written, "written");
@@ -652,6 +679,7 @@
   std::set<ServiceId> m_TrialsWithStatus; ///< Services whose current rollout has a status in the store.
   std::map<ServiceId, TimePoint> m_TrialWriteDueSince;
   std::map<ServiceId, std::uint64_t> m_StatusRowVersions;
+  std::optional<StoreEra> m_StatusEra; ///< Era in which the rollout statuses were last read.
 };
 
 ControlService::ControlService(asio::io_context &Context, ControlStore &Store, GatewayState &State,
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -45,7 +45,7 @@
     return watch(Cursor, Timeout, m_NewUpstreams);
   }
   asio::awaitable<Expected<TrialChanges>> readTrials() override {
-    if (m_Unavailable)
+    if (m_Unavailable || m_TrialsUnreadable)
       co_return unavailable();
     TrialChanges Snapshot;
     Snapshot.m_FullSnapshot = true;
@@ -93,6 +93,7 @@
     return watch(Cursor, Timeout, m_NewPromptEvidence);
   }
   asio::awaitable<Expected<Done>> writePromptEvidence(PromptEvidence Evidence) override {
+    m_OnPromptEvidenceWrite();
     if (m_Unavailable)
       co_return unavailable();
     m_WrittenPromptEvidence.push_back(std::move(Evidence));
@@ -108,9 +109,12 @@
       co_return unavailable();
     co_return Done{};
   }
-  asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon) override { co_return Done{}; }
+  asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon) override {
+    ++m_DaemonRemovals;
+    co_return Done{};
+  }
   asio::awaitable<Expected<std::vector<ListedDaemon>>> readDaemons() override {
-    co_return std::vector<ListedDaemon>{{InstanceId("d0"), 1}, {InstanceId("d1"), 2}};
+    co_return std::vector<ListedDaemon>{{InstanceId("d0"), 1, m_Era}, {InstanceId("d1"), 2, m_Era}};
   }
 
   EraHook m_OnEra;
@@ -118,6 +122,7 @@
   bool m_Unavailable = false;
   bool m_HistoryLost = false;
   bool m_RejectsWrites = false;
+  bool m_TrialsUnreadable = false;
   int m_OrderReads = 0;
   std::uint64_t m_Cursor = 10;
   OrderChanges m_Orders;
@@ -136,6 +141,9 @@
   std::vector<PromptEvidence> m_WrittenPromptEvidence; ///< By this daemon.
   Duration m_CrashWatchTimeout{};
   int m_Heartbeats = 0;
+  int m_DaemonRemovals = 0;
+  /// Called before each write of evidence on crashes.
+  std::function<void()> m_OnPromptEvidenceWrite = [] {};
 
 private:
   static Error unavailable() {
@@ -200,9 +208,9 @@
         1000.0);
     m_Store.m_Orders = configWithRevision(5);
     m_Store.m_Upstreams.m_Updated = {registeredUpstream("a"), registeredUpstream("b")};
-    m_Control =
-        std::make_shared<ControlService>(m_Context, m_Store, *m_State, *m_Log, systemClock(), seededRandom(1),
-                                         [this](const ForwardConfig &) { ++m_ConfigsApplied; });
+    m_Control = std::make_shared<ControlService>(
+        m_Context, m_Store, *m_State, *m_Log, [this] { return systemClock()() + m_ClockAdvance; },
+        seededRandom(1), [this](const ForwardConfig &) { ++m_ConfigsApplied; });
   }
   ~Fixture() { m_Control->stop(); }
 
@@ -234,6 +242,7 @@
       m_State->trialOf(ServiceId("s"))->record(Sample);
   }
 
+  Duration m_ClockAdvance{}; ///< Of the control service's clock.
   asio::io_context m_Context;
   FakeStore m_Store{m_Context};
   std::string m_LogText;
@@ -492,3 +501,39 @@
   m_Log->flush();
   CHECK(m_LogText.find("store_response_dropped") != std::string::npos);
 }
+
+// Guards against a decision written over a row that the restore has replaced.
+TEST_CASE_FIXTURE(Fixture, "a rollout state is not written on a row version of an older era") {
+  m_Store.m_Statuses = {TrialStatus{ServiceId("s"), VersionId("v2"), TrialState::Running, 25}};
+  start();
+  orderTrial();
+  const std::size_t WritesBefore = m_Store.m_WrittenTrials.size();
+  m_Store.m_TrialsUnreadable = true;
+  showEra(StoreEra(2));
+  recordFailuresOnNew(6);
+  runFor(milliseconds(1200));
+  CHECK(m_Store.m_WrittenTrials.size() == WritesBefore);
+  m_Store.m_Statuses.clear();
+  m_Store.m_TrialsUnreadable = false;
+  runFor(milliseconds(2500));
+  REQUIRE(m_Store.m_WrittenTrials.size() > WritesBefore);
+  CHECK(m_Store.m_WrittenTrials[WritesBefore].m_RowVersion == 0);
+}
+
+// Guards against removing a daemon whose row was written again under the expected version.
+TEST_CASE_FIXTURE(Fixture, "an expired daemon is not removed on a row version of an older era") {
+  bool Restored = false;
+  SUBCASE("without a restore it is removed") {}
+  SUBCASE("a restore shows between the list and the removal") { Restored = true; }
+  // The list is read often while heartbeats fail.
+  m_Store.m_Unavailable = true;
+  start();
+  showEra(StoreEra(1));
+  m_Store.m_OnPromptEvidenceWrite = [&] {
+    if (Restored)
+      showEra(StoreEra(2));
+  };
+  m_ClockAdvance = std::chrono::seconds(200);
+  runFor(milliseconds(1200));
+  CHECK((m_Store.m_DaemonRemovals > 0) == !Restored);
+}
