--- a/packages/forward/include/bulrushpitch/forward/daemon_membership.h
+++ b/packages/forward/include/bulrushpitch/forward/daemon_membership.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpitch/core/clock.h"
 #include "bulrushpitch/core/ids.h"
+#include "bulrushpitch/forward/store_era.h"
 
 #include <cstdint>
 #include <map>
@@ -15,6 +16,7 @@
 struct ListedDaemon {
   InstanceId m_Id;
   std::uint64_t m_RowVersion = 0; ///< Increases with each heartbeat.
+  StoreEra m_Era{};               ///< Era in which the row was read.
 };
 
 /// @brief Tracks which of the listed daemons are alive, by their heartbeats.
@@ -43,6 +45,7 @@
   struct Heartbeat {
     /// Comparable with the versions in the next list; empty if the store was restored without the row.
     std::optional<std::uint64_t> m_RowVersion;
+    StoreEra m_Era{};
     TimePoint m_SeenAt{}; ///< When the row version was first read.
   };
 
--- a/packages/forward/src/daemon_membership.cpp
+++ b/packages/forward/src/daemon_membership.cpp
@@ -13,8 +13,9 @@
   std::map<InstanceId, Heartbeat> Updated;
   for (const ListedDaemon &Entry : Listed) {
     const auto Before = m_Daemons.find(Entry.m_Id);
-    const bool Unchanged = Before != m_Daemons.end() && Before->second.m_RowVersion == Entry.m_RowVersion;
-    Updated[Entry.m_Id] = Unchanged ? Before->second : Heartbeat{Entry.m_RowVersion, Now};
+    const bool Unchanged = Before != m_Daemons.end() && Before->second.m_RowVersion == Entry.m_RowVersion &&
+                           Before->second.m_Era == Entry.m_Era;
+    Updated[Entry.m_Id] = Unchanged ? Before->second : Heartbeat{Entry.m_RowVersion, Entry.m_Era, Now};
   }
   if (restoredRecently(Now))
     for (const auto &Known : m_Daemons)
@@ -28,11 +29,12 @@
   std::map<InstanceId, Heartbeat> Updated;
   for (const auto &Known : m_Daemons)
     if (isAlive(Known.second, Now))
-      Updated[Known.first] = Heartbeat{std::nullopt, Now};
+      Updated[Known.first] = Heartbeat{std::nullopt, Known.second.m_Era, Now};
   for (const ListedDaemon &Entry : Listed) {
     const auto Known = m_Daemons.find(Entry.m_Id);
     const bool WasExpired = Known != m_Daemons.end() && !isAlive(Known->second, Now);
-    Updated[Entry.m_Id] = Heartbeat{Entry.m_RowVersion, WasExpired ? Known->second.m_SeenAt : Now};
+    Updated[Entry.m_Id] =
+        Heartbeat{Entry.m_RowVersion, Entry.m_Era, WasExpired ? Known->second.m_SeenAt : Now};
   }
   m_Daemons = std::move(Updated);
 }
@@ -59,7 +61,7 @@
     return Expired;
   for (const auto &Entry : m_Daemons)
     if (Entry.second.m_RowVersion && !isAlive(Entry.second, Now))
-      Expired.push_back({Entry.first, *Entry.second.m_RowVersion});
+      Expired.push_back({Entry.first, *Entry.second.m_RowVersion, Entry.second.m_Era});
   return Expired;
 }
 
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -5,6 +5,7 @@
 #include "rollout_coordinator.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -32,6 +33,8 @@
 constexpr Duration CrashPublishInterval = milliseconds(500);
 constexpr Duration MinBackoff = milliseconds(100);
 constexpr Duration MaxBackoff = milliseconds(800);
+/// Far above the timeout of any call.
+constexpr Duration CallTimeLimit = std::chrono::minutes(10);
 /// Registry entries that expired while the store was unavailable are written again within this time after its
 /// recovery.
 constexpr Duration EntryGracePeriod = milliseconds(2200);
@@ -59,6 +62,10 @@
             Context, [] { return TickInterval; }, [this] { onTick(); }) {}
 
   void start() {
+    m_Store.reportEras([Weak = weak_from_this()](StoreEra Era, std::string_view Table) {
+      if (const std::shared_ptr<Impl> Self = Weak.lock())
+        Self->observeEra(Era, Table);
+    });
     spawn(m_Context, follow(shared_from_this(), orders()));
     spawn(m_Context, follow(shared_from_this(), upstreams()));
     spawn(m_Context, follow(shared_from_this(), trialStatuses()));
@@ -79,9 +86,10 @@
     std::string_view m_Name;
     Duration m_Interval = WatchInterval; ///< Pause between two calls.
     Duration m_WatchTimeout = WatchTimeout;
-    std::optional<std::uint64_t> m_Cursor = std::nullopt; ///< Empty: read the full snapshot next.
+    std::optional<StoreCursor> m_Cursor = std::nullopt; ///< Empty: read the full snapshot next.
     Duration m_Backoff{};
     bool m_Unavailable = false;
+    std::optional<StoreEra> m_AppliedEra = std::nullopt; ///< Era of the last response applied.
   };
 
   /// One watched table: its calls, and what the gateway does with its changes.
@@ -196,29 +204,94 @@
         co_await sleepFor(Self->m_Context, TickInterval);
         continue;
       }
-      const Expected<Changes> Outcome = co_await Self->callNext(Table);
-      if (Outcome)
-        Table.m_Apply(Table.m_Feed, *Outcome);
+      Answer<Changes> Outcome = co_await Self->callNext(Table);
+      if (!Outcome || (*Outcome && !Self->accepts(Table.m_Feed, (*Outcome)->m_Era))) {
+        Table.m_Feed.m_Cursor.reset();
+        co_await sleepFor(Self->m_Context, MinBackoff + Self->randomPause());
+        continue;
+      }
+      if (*Outcome)
+        Self->applyAccepted(Table, **Outcome);
       else
-        Table.m_Failed(Outcome.error());
-      co_await Self->waitBeforeNextCall(Table.m_Feed, callResultOf(Outcome));
+        Table.m_Failed((*Outcome).error());
+      co_await Self->waitBeforeNextCall(Table.m_Feed, callResultOf(*Outcome));
     }
   }
 
+  /// Outcome of a call; nothing if a restore of the store made the call pointless.
+  template <typename Changes> using Answer = std::optional<Expected<Changes>>;
+  template <typename Changes> using PendingAnswer = OneShot<Answer<Changes>>;
+
   /// Reads the full snapshot, or waits for changes since the last call.
+  template <typename Changes> asio::awaitable<Answer<Changes>> callNext(WatchedTable<Changes> &Table) {
+    Feed &Followed = Table.m_Feed;
+    if (Followed.m_Cursor && m_State.m_StoreEras.isStale(Followed.m_Cursor->m_Era))
+      Followed.m_Cursor.reset();
+    if (!Followed.m_Cursor)
+      co_return co_await Table.m_Read(m_Store);
+    const std::shared_ptr<PendingAnswer<Changes>> Pending =
+        std::make_shared<PendingAnswer<Changes>>(m_Context);
+    m_OpenPolls[Followed.m_Name] = [Pending] { Pending->set(std::nullopt); };
+    spawn(m_Context,
+          answer(Table.m_Watch(m_Store, Followed.m_Cursor->m_Version, Followed.m_WatchTimeout), Pending));
+    const std::optional<Answer<Changes>> Outcome = co_await Pending->wait(CallTimeLimit);
+    m_OpenPolls.erase(Followed.m_Name);
+    co_return Outcome.value_or(std::nullopt);
+  }
+
   template <typename Changes>
-  asio::awaitable<Expected<Changes>> callNext(const WatchedTable<Changes> &Table) {
-    const std::optional<std::uint64_t> &Cursor = Table.m_Feed.m_Cursor;
-    return Cursor ? Table.m_Watch(m_Store, *Cursor, Table.m_Feed.m_WatchTimeout) : Table.m_Read(m_Store);
+  static asio::awaitable<void> answer(asio::awaitable<Expected<Changes>> Call,
+                                      std::shared_ptr<PendingAnswer<Changes>> Pending) {
+    Answer<Changes> Outcome = co_await std::move(Call);
+    Pending->set(std::move(Outcome));
+  }
+
+  /// Returns whether a response is still valid. Otherwise the table has to be read again.
+  bool accepts(const Feed &Table, StoreEra Era) {
+    observeEra(Era, Table.m_Name);
+    if (m_State.m_StoreEras.accepts(Era, Table.m_Cursor))
+      return true;
+    m_Log.add(LogClass::State, "store_response_dropped",
+              {{"table", Table.m_Name},
+               {"era", static_cast<std::int64_t>(Era.value())},
+               {"current", static_cast<std::int64_t>(m_State.m_StoreEras.current().value())}});
+    return false;
+  }
+
+  template <typename Changes> void applyAccepted(WatchedTable<Changes> &Table, Changes &Accepted) {
+    Feed &Followed = Table.m_Feed;
+    Accepted.m_AfterRestore = Followed.m_AppliedEra && *Followed.m_AppliedEra != Accepted.m_Era;
+    Followed.m_AppliedEra = Accepted.m_Era;
+    Table.m_Apply(Followed, Accepted);
   }
 
+  void observeEra(StoreEra Era, std::string_view Table) {
+    if (const std::optional<StoreEra> Before = m_State.m_StoreEras.observe(Era))
+      onStoreRestored(*Before, Era, Table);
+  }
+
+  /// Called once per restore of the store, before anything that was read after it is applied. Each table is
+  /// then read again; its first changes have m_AfterRestore set.
+  void onStoreRestored(StoreEra Before, StoreEra Now, std::string_view Table) {
+    m_Log.add(LogClass::State, "store_restored",
+              {{"table", Table},
+               {"old_era", static_cast<std::int64_t>(Before.value())},
+               {"new_era", static_cast<std::int64_t>(Now.value())}});
+    for (const auto &Poll : m_OpenPolls)
+      Poll.second();
+  }
+
+  /// Spreads the calls of several tables and daemons.
+  Duration randomPause() { return Duration(m_Random() % MinBackoff.count()); }
+
   /// Result of one call, for scheduling the next one.
   struct CallResult {
-    std::uint64_t m_Cursor = 0;
+    StoreCursor m_Cursor;
     const Error *m_Failure = nullptr;
   };
   template <typename Changes> static CallResult callResultOf(const Expected<Changes> &Outcome) {
-    return Outcome ? CallResult{Outcome->m_Cursor, nullptr} : CallResult{0, &Outcome.error()};
+    return Outcome ? CallResult{{Outcome->m_Era, Outcome->m_Cursor}, nullptr}
+                   : CallResult{{}, &Outcome.error()};
   }
 
   static asio::awaitable<void> followDaemons(std::shared_ptr<Impl> Self) {
@@ -235,7 +308,7 @@
       }
       const Expected<std::vector<ListedDaemon>> Listed = co_await Self->m_Store.readDaemons();
       Self->logFailure("daemons_not_read", Listed);
-      if (Listed) {
+      if (Listed && !Self->isOutdated(*Listed)) {
         Membership.update(*Listed, Self->m_Clock());
         Self->m_State.setDaemons(Membership.alive(Self->m_Clock()));
         co_await Self->removeExpired(Membership.expired(Self->m_Clock()));
@@ -244,6 +317,11 @@
     }
   }
 
+  /// Returns whether the list was read before a restore of the store.
+  bool isOutdated(const std::vector<ListedDaemon> &Listed) const {
+    return !Listed.empty() && m_State.m_StoreEras.isStale(Listed.front().m_Era);
+  }
+
   /// Removes the rows of expired daemons, on one daemon only. Otherwise the list of daemons would grow
   /// whenever daemons are replaced.
   asio::awaitable<void> removeExpired(std::vector<ListedDaemon> Expired) {
@@ -256,13 +334,25 @@
       PromptEvidence Withdrawn;
       Withdrawn.m_Daemon = Daemon.m_Id;
       logFailure("crashes_not_removed", co_await m_Store.writePromptEvidence(std::move(Withdrawn)));
-      const Expected<Done> Removed = co_await m_Store.removeDaemon(Daemon);
+      const Expected<Done> Removed = co_await removeDaemon(Daemon);
       const std::string Outcome = outcomeText(Removed, "removed");
       m_Log.add(LogClass::State, "daemon_lapsed",
                 {{"daemon", std::string_view(Daemon.m_Id.value())}, {"outcome", std::string_view(Outcome)}});
     }
   }
 
+  /// Error of a conditional write that is not sent: its row was read before a restore of the store.
+  static Error rowReplaced(std::string Step) {
+    return Error{ErrorCode::ConditionFailed, std::move(Step), "store", Ran::No,
+                 "the store was restored after the row was read"};
+  }
+
+  asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon Expired) {
+    if (m_State.m_StoreEras.isStale(Expired.m_Era))
+      co_return rowReplaced("remove daemon");
+    co_return co_await m_Store.removeDaemon(std::move(Expired));
+  }
+
   template <typename Value> void logFailure(std::string_view Event, const Expected<Value> &Outcome) {
     if (Outcome)
       return;
@@ -293,7 +383,7 @@
     }
     Table.m_Unavailable = true;
     Table.m_Backoff = std::clamp(Table.m_Backoff * 2, MinBackoff, MaxBackoff);
-    co_await sleepFor(m_Context, Table.m_Backoff + Duration(m_Random() % MinBackoff.count()));
+    co_await sleepFor(m_Context, Table.m_Backoff + randomPause());
   }
 
   /// @return whether the configuration changed
@@ -391,7 +481,7 @@
   static asio::awaitable<void> readPromptEvidence(std::shared_ptr<Impl> Self) {
     const Expected<PromptEvidenceChanges> Read = co_await Self->m_Store.readPromptEvidence();
     Self->logFailure("crashes_not_read", Read);
-    if (Read)
+    if (Read && !Self->m_State.m_StoreEras.isStale(Read->m_Era))
       Self->apply(*Read);
   }
 
@@ -462,6 +552,7 @@
   bool m_Stopped = false;
   OrderPacer m_OrderPacer;
   TimePoint m_OrderCallSentAt{};
+  std::map<std::string_view, std::function<void()>> m_OpenPolls; ///< Ends the wait for a long poll, by table.
   std::optional<TimePoint> m_RegistryRecoveredAt;
   bool m_CrashWriteInProgress = false;
   TimePoint m_NextCrashWriteAt{};
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -12,12 +12,13 @@
 
 namespace {
 
-/// An in-memory store whose tables a test changes. It can be unavailable, lose its change history, or reject
-/// writes.
+/// An in-memory store whose tables a test changes. It can be unavailable, lose its change history, reject
+/// writes, or be restored.
 class FakeStore : public ControlStore {
 public:
   explicit FakeStore(asio::io_context &Context) : m_Context(Context) {}
 
+  void reportEras(EraHook OnEra) override { m_OnEra = std::move(OnEra); }
   asio::awaitable<Expected<OrderChanges>> readOrders() override {
     ++m_OrderReads;
     if (m_Unavailable)
@@ -25,6 +26,7 @@
     OrderChanges Snapshot = m_Orders;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     co_return Snapshot;
   }
   asio::awaitable<Expected<OrderChanges>> watchOrders(std::uint64_t Cursor, Duration Timeout) override {
@@ -36,17 +38,19 @@
     UpstreamChanges Snapshot = m_Upstreams;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     co_return Snapshot;
   }
   asio::awaitable<Expected<UpstreamChanges>> watchUpstreams(std::uint64_t Cursor, Duration Timeout) override {
     return watch(Cursor, Timeout, m_NewUpstreams);
   }
   asio::awaitable<Expected<TrialChanges>> readTrials() override {
-    if (m_Unavailable)
+    if (m_Unavailable || m_TrialsUnreadable)
       co_return unavailable();
     TrialChanges Snapshot;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     Snapshot.m_Updated = m_Statuses;
     co_return Snapshot;
   }
@@ -66,6 +70,7 @@
     EvidenceChanges Snapshot;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     Snapshot.m_Updated = m_PeerEvidence;
     co_return Snapshot;
   }
@@ -78,6 +83,7 @@
     PromptEvidenceChanges Snapshot;
     Snapshot.m_FullSnapshot = true;
     Snapshot.m_Cursor = m_Cursor;
+    Snapshot.m_Era = m_Era;
     Snapshot.m_Updated = m_PromptEvidence;
     co_return Snapshot;
   }
@@ -87,6 +93,7 @@
     return watch(Cursor, Timeout, m_NewPromptEvidence);
   }
   asio::awaitable<Expected<Done>> writePromptEvidence(PromptEvidence Evidence) override {
+    m_OnPromptEvidenceWrite();
     if (m_Unavailable)
       co_return unavailable();
     m_WrittenPromptEvidence.push_back(std::move(Evidence));
@@ -102,14 +109,20 @@
       co_return unavailable();
     co_return Done{};
   }
-  asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon) override { co_return Done{}; }
+  asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon) override {
+    ++m_DaemonRemovals;
+    co_return Done{};
+  }
   asio::awaitable<Expected<std::vector<ListedDaemon>>> readDaemons() override {
-    co_return std::vector<ListedDaemon>{{InstanceId("d0"), 1}, {InstanceId("d1"), 2}};
+    co_return std::vector<ListedDaemon>{{InstanceId("d0"), 1, m_Era}, {InstanceId("d1"), 2, m_Era}};
   }
 
+  EraHook m_OnEra;
+  StoreEra m_Era{1};
   bool m_Unavailable = false;
   bool m_HistoryLost = false;
   bool m_RejectsWrites = false;
+  bool m_TrialsUnreadable = false;
   int m_OrderReads = 0;
   std::uint64_t m_Cursor = 10;
   OrderChanges m_Orders;
@@ -128,6 +141,9 @@
   std::vector<PromptEvidence> m_WrittenPromptEvidence; ///< By this daemon.
   Duration m_CrashWatchTimeout{};
   int m_Heartbeats = 0;
+  int m_DaemonRemovals = 0;
+  /// Called before each write of evidence on crashes.
+  std::function<void()> m_OnPromptEvidenceWrite = [] {};
 
 private:
   static Error unavailable() {
@@ -151,6 +167,9 @@
       Next = Queue.front();
       Queue.pop_front();
     }
+    // Changes of an older era were prepared before a restore.
+    if (Next.m_Era == StoreEra())
+      Next.m_Era = m_Era;
     co_return Next;
   }
 
@@ -242,15 +261,20 @@
   ~Fixture() { m_Control->stop(); }
 
   void useStore(ControlStore &Store) {
-    m_Control =
-        std::make_shared<ControlService>(m_Context, Store, *m_State, *m_Log, systemClock(), seededRandom(1),
-                                         [this](const ForwardConfig &) { ++m_ConfigsApplied; });
+    m_Control = std::make_shared<ControlService>(
+        m_Context, Store, *m_State, *m_Log, [this] { return systemClock()() + m_ClockAdvance; },
+        seededRandom(1), [this](const ForwardConfig &) { ++m_ConfigsApplied; });
   }
   void start() {
     REQUIRE(capture([this] { return m_Control->start(); }));
     runFor(milliseconds(100));
   }
   void runFor(milliseconds Interval) { m_Context.run_for(Interval); }
+  /// A response to any call shows the era.
+  void showEra(StoreEra Era) {
+    m_Store.m_Era = Era;
+    m_Store.m_OnEra(Era, "daemons");
+  }
   std::uint64_t revision() const { return m_State->m_ConfigIndex->config().m_Revision.value(); }
 
   void orderTrial() {
@@ -269,6 +293,7 @@
       m_State->trialOf(ServiceId("s"))->record(Sample);
   }
 
+  Duration m_ClockAdvance{}; ///< Of the control service's clock.
   asio::io_context m_Context;
   FakeStore m_Store{m_Context};
   std::string m_LogText;
@@ -523,3 +548,73 @@
   runFor(milliseconds(700));
   CHECK(m_Store.m_CrashWatchTimeout == Duration(milliseconds(6000)));
 }
+
+// Guards against state that stays as before a restore, in tables whose own calls have not shown it yet.
+TEST_CASE_FIXTURE(Fixture, "an era seen in any response has the tables read again once, and is logged") {
+  start();
+  const int ReadsBefore = m_Store.m_OrderReads;
+  m_Store.m_Upstreams.m_Updated = {registeredUpstream("c")};
+  showEra(StoreEra(3));
+  showEra(StoreEra(3));
+  runFor(milliseconds(1600));
+  CHECK(m_Store.m_OrderReads == ReadsBefore + 1);
+  CHECK(m_State->m_Pool.find(UpstreamId("c")));
+  CHECK(m_State->m_StoreEras.restores() == 1);
+  m_Log->flush();
+  CHECK(m_LogText.find("\"event\":\"store_restored\",\"table\":\"daemons\",\"old_era\":1,\"new_era\":3") !=
+        std::string::npos);
+}
+
+// Guards against a delayed response that brings back what a restore has undone, or moves the cursor.
+TEST_CASE_FIXTURE(Fixture, "changes of an older era that arrive last are dropped") {
+  start();
+  showEra(StoreEra(2));
+  runFor(milliseconds(700));
+  const int ReadsBefore = m_Store.m_OrderReads;
+  OrderChanges Late;
+  Late.m_Era = StoreEra(1);
+  Late.m_Cursor = 90;
+  Late.m_DomainsOut = {DomainId("west-b")};
+  m_Store.m_NewOrders.push_back(Late);
+  runFor(milliseconds(700));
+  CHECK(m_State->m_Pool.domainsOut().empty());
+  CHECK(m_Store.m_OrderReads == ReadsBefore + 1);
+  m_Log->flush();
+  CHECK(m_LogText.find("store_response_dropped") != std::string::npos);
+}
+
+// Guards against a decision written over a row that the restore has replaced.
+TEST_CASE_FIXTURE(Fixture, "a rollout state is not written on a row version of an older era") {
+  m_Store.m_Statuses = {TrialStatus{ServiceId("s"), VersionId("v2"), TrialState::Running, 25}};
+  start();
+  orderTrial();
+  const std::size_t WritesBefore = m_Store.m_WrittenTrials.size();
+  m_Store.m_TrialsUnreadable = true;
+  showEra(StoreEra(2));
+  recordFailuresOnNew(6);
+  runFor(milliseconds(1200));
+  CHECK(m_Store.m_WrittenTrials.size() == WritesBefore);
+  m_Store.m_Statuses.clear();
+  m_Store.m_TrialsUnreadable = false;
+  runFor(milliseconds(2500));
+  REQUIRE(m_Store.m_WrittenTrials.size() > WritesBefore);
+  CHECK(m_Store.m_WrittenTrials[WritesBefore].m_RowVersion == 0);
+}
+
+// Guards against removing a daemon whose row was written again under the expected version.
+TEST_CASE_FIXTURE(Fixture, "an expired daemon is not removed on a row version of an older era") {
+  bool Restored = false;
+  SUBCASE("without a restore it is removed") {}
+  SUBCASE("a restore shows between the list and the removal") { Restored = true; }
+  // The list is read often while heartbeats fail.
+  m_Store.m_Unavailable = true;
+  start();
+  showEra(StoreEra(1));
+  m_Store.m_OnPromptEvidenceWrite = [&] {
+    if (Restored)
+      showEra(StoreEra(2));
+  };
+  m_ClockAdvance = std::chrono::seconds(200);
+  runFor(milliseconds(1200));
+  CHECK((m_Store.m_DaemonRemovals > 0) == !Restored);
+}
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -21,6 +21,7 @@
 public:
   explicit WriteStore(asio::io_context &Context) : m_Context(Context) {}
 
+  void reportEras(EraHook) override {}
   asio::awaitable<Expected<Done>> writeTrial(TrialStatus Status) override {
     m_Statuses.push_back(Status);
     while (m_HoldsWrites)
