--- a/packages/gateway/include/bulrushpitch/gateway/order_pacer.h
+++ b/packages/gateway/include/bulrushpitch/gateway/order_pacer.h
@@ -39,9 +39,12 @@
   /// @param ConfigChanged whether it has a newer configuration
   /// @param Took time from the call to the whole answer
   NextOrderCall onRead(bool ConfigChanged, Duration Took, TimePoint Now);
-  /// @brief Records that a call got no complete answer in time: its link or the store is overloaded, and the
-  /// changes since the last answer are read as one snapshot.
-  void onTimedOut() { m_Next.m_Call = OrderCall::Read; }
+  /// @brief Records that a call got no complete answer in time. The other kind of call comes next: a snapshot
+  /// is smaller than many changes, while a watch waits longer for a slow store.
+  /// @param Call the call that timed out
+  void onTimedOut(OrderCall Call) {
+    m_Next.m_Call = Call == OrderCall::Watch ? OrderCall::Read : OrderCall::Watch;
+  }
   /// @return the next call
   const NextOrderCall &next() const { return m_Next; }
 
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -96,6 +96,9 @@
     std::optional<std::uint64_t> m_Cursor = std::nullopt; ///< Empty: read the full snapshot next.
     Duration m_Backoff{};
     bool m_Unavailable = false;
+    bool m_ReadNext = false; ///< Read the full snapshot next, though a watch could go on from the cursor.
+
+    bool reads() const { return m_ReadNext || !m_Cursor; }
   };
 
   /// One watched table: its calls, and what the gateway does with its changes.
@@ -106,7 +109,7 @@
         m_Watch;
     /// May set the pause before the next call.
     std::function<void(Feed &, const Changes &)> m_Apply;
-    /// Called before each call of the store. Returns whether the table is needed now; may reset the cursor.
+    /// Called before each call of the store. Returns whether the table is needed now; may choose the call.
     std::function<bool(Feed &)> m_Prepare = [](Feed &) { return true; };
     /// Called after a call that failed.
     std::function<void(const Error &)> m_Failed = [](const Error &) {};
@@ -118,8 +121,8 @@
     Table.m_Read = &ControlStore::readOrders;
     Table.m_Watch = &ControlStore::watchOrders;
     Table.m_Prepare = [this](Feed &Orders) {
-      if (m_OrderPacer.next().m_Call == OrderCall::Read)
-        Orders.m_Cursor.reset();
+      Orders.m_ReadNext = m_OrderPacer.next().m_Call == OrderCall::Read;
+      m_OrderCall = Orders.reads() ? OrderCall::Read : OrderCall::Watch;
       m_OrderCallSentAt = m_Clock();
       return true;
     };
@@ -133,11 +136,11 @@
       const NextOrderCall Next = Changes.m_FullSnapshot
                                      ? m_OrderPacer.onRead(ConfigChanged, Now - m_OrderCallSentAt, Now)
                                      : m_OrderPacer.onWatched(ConfigChanged, Changes.m_SupersededCount, Now);
-      Orders.m_Interval = Next.m_Pause;
+      Orders.m_Interval = Next.m_Pause + (Next.m_Call == OrderCall::Read ? randomPause() : Duration::zero());
     };
     Table.m_Failed = [this](const Error &Failure) {
       if (Failure.m_Code == ErrorCode::PlatformTimeout)
-        m_OrderPacer.onTimedOut();
+        m_OrderPacer.onTimedOut(m_OrderCall);
     };
     return Table;
   }
@@ -218,8 +221,9 @@
   /// Reads the full snapshot, or waits for changes since the last call.
   template <typename Changes>
   asio::awaitable<Expected<Changes>> callNext(const WatchedTable<Changes> &Table) {
-    const std::optional<std::uint64_t> &Cursor = Table.m_Feed.m_Cursor;
-    return Cursor ? Table.m_Watch(m_Store, *Cursor, Table.m_Feed.m_WatchTimeout) : Table.m_Read(m_Store);
+    const Feed &Followed = Table.m_Feed;
+    return Followed.reads() ? Table.m_Read(m_Store)
+                            : Table.m_Watch(m_Store, *Followed.m_Cursor, Followed.m_WatchTimeout);
   }
 
   /// Result of one call, for scheduling the next one.
@@ -308,9 +312,12 @@
     }
     Table.m_Unavailable = true;
     Table.m_Backoff = std::clamp(Table.m_Backoff * 2, MinBackoff, MaxBackoff);
-    co_await sleepFor(m_Context, Table.m_Backoff + Duration(m_Random() % MinBackoff.count()));
+    co_await sleepFor(m_Context, Table.m_Backoff + randomPause());
   }
 
+  /// Spreads the calls of several tables and daemons.
+  Duration randomPause() { return Duration(m_Random() % MinBackoff.count()); }
+
   /// @return whether the configuration changed
   bool apply(const OrderChanges &Changes) {
     const bool ConfigChanged = applyConfig(Changes);
@@ -609,6 +616,7 @@
   Ticker m_Ticker;
   bool m_Stopped = false;
   OrderPacer m_OrderPacer;
+  OrderCall m_OrderCall = OrderCall::Read; ///< The latest call for the orders.
   TimePoint m_OrderCallSentAt{};
   std::optional<TimePoint> m_RegistryRecoveredAt;
   /// Read all rollout statuses again. Set by a new order, as its status may have been read and ignored before
--- a/packages/gateway/src/order_pacer.cpp
+++ b/packages/gateway/src/order_pacer.cpp
@@ -14,7 +14,7 @@
 /// Changes within this time of each other are read as one, and the pause before such a read. A third of the
 /// time within which a configuration must be in force.
 constexpr Duration BusyInterval = milliseconds(1000);
-/// Longest pause, for transfers that take long; leaves half of the time for the transfer.
+/// Longest pause, for transfers that take long.
 constexpr Duration MaxBusyInterval = milliseconds(1500);
 /// Pause as a multiple of the time of the last transfer; leaves room on the link for requests.
 constexpr int PausePerTransferTime = 2;
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -165,7 +165,7 @@
 public:
   static constexpr Duration TransferTime = milliseconds(300);
   static constexpr Duration ChangeInterval = milliseconds(100);
-  static constexpr std::uint64_t ChangeCount = 30;
+  static constexpr std::uint64_t ChangeCount = 50;
 
   explicit ThinLinkStore(asio::io_context &Context) : FakeStore(Context), m_LinkContext(Context) {}
 
@@ -177,7 +177,12 @@
     return 1 + std::min(ChangeCount, static_cast<std::uint64_t>(Elapsed / ChangeInterval));
   }
 
+  bool m_ReadsTimeOut = false;
+  int m_WatchesThatTimeOut = 0;
+
   asio::awaitable<Expected<OrderChanges>> readOrders() override {
+    if (m_ReadsTimeOut)
+      co_return timedOut();
     OrderChanges Snapshot = configWithRevision(revision());
     Snapshot.m_Cursor = Snapshot.m_Config->m_Revision.value();
     Snapshot.m_FullSnapshot = true;
@@ -187,8 +192,12 @@
   asio::awaitable<Expected<OrderChanges>> watchOrders(std::uint64_t Cursor, Duration Timeout) override {
     constexpr Duration PollInterval = milliseconds(5);
     const TimePoint Deadline = systemClock()() + Timeout;
-    while (revision() == Cursor && systemClock()() < Deadline)
+    while (revision() == Cursor && m_WatchesThatTimeOut == 0 && systemClock()() < Deadline)
       co_await sleepFor(m_LinkContext, PollInterval);
+    if (m_WatchesThatTimeOut > 0) {
+      --m_WatchesThatTimeOut;
+      co_return timedOut();
+    }
     OrderChanges Next;
     Next.m_Cursor = revision();
     if (Next.m_Cursor == Cursor)
@@ -201,6 +210,10 @@
   }
 
 private:
+  static Error timedOut() {
+    return Error{ErrorCode::PlatformTimeout, "call", "fake", Ran::No, "no response within the timeout"};
+  }
+
   asio::io_context &m_LinkContext;
   std::optional<TimePoint> m_ChangesStartedAt;
 };
@@ -335,8 +348,12 @@
   m_Store.m_HistoryLost = true;
   runFor(milliseconds(700));
   CHECK(m_Store.m_OrderReads > ReadsBefore);
+  CHECK_FALSE(m_Store.m_HistoryLost);
+  const int ReadsBeforeSecondLoss = m_Store.m_OrderReads;
   m_Store.m_HistoryLost = true;
-  runFor(milliseconds(700));
+  runFor(milliseconds(2000));
+  CHECK_FALSE(m_Store.m_HistoryLost);
+  CHECK(m_Store.m_OrderReads > ReadsBeforeSecondLoss);
   CHECK(revision() == 9);
 }
 
@@ -349,12 +366,29 @@
   start();
   runFor(milliseconds(700));
   Store.startChanges();
-  runFor(
-      std::chrono::duration_cast<milliseconds>(ThinLinkStore::ChangeInterval * ThinLinkStore::ChangeCount) +
-      TimeToBeInForce);
+  const std::uint64_t RevisionsInTime = TimeToBeInForce / ThinLinkStore::ChangeInterval;
+  for (std::uint64_t Change = 0; Change < ThinLinkStore::ChangeCount + RevisionsInTime; ++Change) {
+    runFor(std::chrono::duration_cast<milliseconds>(ThinLinkStore::ChangeInterval));
+    CHECK(revision() + RevisionsInTime >= Store.revision());
+  }
   CHECK(revision() == Store.revision());
 }
 
+// Guards against a daemon that learns nothing from a store that is too slow for snapshots but not for
+// watches.
+TEST_CASE_FIXTURE(Fixture, "a configuration is learned by a watch while snapshots time out") {
+  ThinLinkStore Store(m_Context);
+  useStore(Store);
+  start();
+  runFor(milliseconds(700));
+  Store.m_ReadsTimeOut = true;
+  Store.m_WatchesThatTimeOut = 1;
+  runFor(milliseconds(1500));
+  Store.startChanges();
+  runFor(milliseconds(3000));
+  CHECK(revision() > 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "removed upstreams and failure domains out of service get no requests") {
   start();
   UpstreamChanges Removal;
--- a/packages/gateway/tests/order_pacer_test.cpp
+++ b/packages/gateway/tests/order_pacer_test.cpp
@@ -62,9 +62,12 @@
   CHECK(Longest <= milliseconds(1500));
 }
 
-TEST_CASE("after a call that timed out the latest configuration is read") {
+// Guards against a daemon that repeats a call which its link or the store can't answer in time.
+TEST_CASE("after a call that timed out the other kind of call is tried") {
   OrderPacer Pacer = startedPacer();
   Pacer.onWatched(false, 0, at(5000));
-  Pacer.onTimedOut();
+  Pacer.onTimedOut(OrderCall::Watch);
   CHECK(Pacer.next().m_Call == OrderCall::Read);
+  Pacer.onTimedOut(OrderCall::Read);
+  CHECK(Pacer.next().m_Call == OrderCall::Watch);
 }
