gateway: a request is repeated only in the regions of the newest configuration

A request kept the configuration that it found on arrival for its whole life.

Each attempt now takes the regions of route and team from the newest configuration; a route or key that it no longer has keeps those it had. Service, kind, attempts and timeout stay as found on arrival: the newest revision is one that may be in force, and a request that has begun must not change what it is.

"a request is repeated only in the regions of the newest configuration" failed before, for routes and for teams (SameRegion.requests().empty() is false).

--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -19,7 +19,8 @@
 
 /// @brief State shared by the gateway's services: the configuration in force and the view of the upstreams.
 ///
-/// Not thread-safe; used from one event loop. A request keeps the index that was current when it started.
+/// Not thread-safe; used from one event loop. A request keeps the index that was current when it started,
+/// except for the regions where it may run.
 class GatewayState {
 public:
   explicit GatewayState(const GatewaySettings &Settings)
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -34,6 +34,9 @@
   void chooseService();
   boost::asio::awaitable<void> run();
 
+  /// @brief Sets the regions of the newest configuration, which may differ from those at the request's
+  /// arrival. A route or key that it no longer has keeps the regions that it had.
+  void restrictRegions(PlacementQuery &Query) const;
   /// @brief Describes the request to the placement: where it may run now.
   PlacementQuery placementQuery() const;
   /// @return the versions that the request may run on while the service has a version trial
--- a/packages/gateway/src/request_retry.cpp
+++ b/packages/gateway/src/request_retry.cpp
@@ -76,13 +76,21 @@
   return std::min(Extension, MaxWait - Waited);
 }
 
+void ForwardedRequest::restrictRegions(PlacementQuery &Query) const {
+  const ConfigIndex &Newest = *m_Dependencies.m_State.m_ConfigIndex;
+  const ForwardRoute *Route = Newest.route(m_Request.m_Headers.find("Host").value_or(""), m_Request.path());
+  Query.m_Regions = (Route ? Route : m_Route)->m_Regions;
+  if (!m_Team)
+    return;
+  const ForwardTeam *Team = Newest.teamOfKey(m_Caller.m_ApiKey);
+  Query.m_TeamRegions = (Team ? Team : m_Team)->m_Regions;
+}
+
 PlacementQuery ForwardedRequest::placementQuery() const {
   GatewayState &State = m_Dependencies.m_State;
   PlacementQuery Query;
   Query.m_Service = m_Service;
-  Query.m_Regions = m_Route->m_Regions;
-  if (m_Team)
-    Query.m_TeamRegions = m_Team->m_Regions;
+  restrictRegions(Query);
   Query.m_Affinity = m_Caller.m_PromptHash;
   Query.m_SharedPrefillTime =
       State.m_PrefillTime.expected(chosenModel().value_or(ModelId()), m_Caller.m_SharedTokens);
--- a/packages/gateway/tests/forwarder_test.cpp
+++ b/packages/gateway/tests/forwarder_test.cpp
@@ -114,7 +114,7 @@
     Settings.m_Instance = InstanceId("d0");
     Settings.m_Domain = DomainId("west-a");
     Settings.m_Region = RegionId("west");
-    Settings.m_Domains = {{DomainId("west-a"), RegionId("west")}};
+    Settings.m_Domains = {{DomainId("west-a"), RegionId("west")}, {DomainId("hill-a"), RegionId("hill")}};
     Settings.m_Bounds.m_RetryShare = 1.0;
     Settings.m_Bounds.m_RetryReserve = 100.0;
     m_State.emplace(Settings);
@@ -136,12 +136,12 @@
     REQUIRE(capture([this] { return m_Server->start(); }));
   }
 
-  ScriptedUpstream &add(ScriptedUpstream::Script Script) {
+  ScriptedUpstream &add(ScriptedUpstream::Script Script, const std::string &Domain = "west-a") {
     m_Upstreams.push_back(std::make_unique<ScriptedUpstream>(m_Context, std::move(Script)));
     RegisteredUpstream Entry;
     Entry.m_Id = UpstreamId("u" + std::to_string(m_Upstreams.size()));
     Entry.m_Service = ServiceId("s");
-    Entry.m_Domain = DomainId("west-a");
+    Entry.m_Domain = DomainId(Domain);
     Entry.m_Address = m_Upstreams.back()->address();
     Entry.m_Version = VersionId("v1");
     // The first upstream is preferred while it has spare capacity: with more slots its expected wait is
@@ -176,6 +176,21 @@
     m_State->m_RegistryRead = true;
   }
 
+  /// Puts the next revision in force, with other regions of the route and the team.
+  void bindToRegions(std::vector<RegionId> OfRoute, std::vector<RegionId> OfTeam) {
+    ForwardConfig Config = m_State->m_ConfigIndex->config();
+    Config.m_Revision = ConfigRevision(Config.m_Revision.value() + 1);
+    Config.m_Routes.front().m_Regions = std::move(OfRoute);
+    Config.m_Teams.front().m_Regions = std::move(OfTeam);
+    m_State->m_ConfigIndex = std::make_shared<const ConfigIndex>(std::move(Config));
+  }
+
+  asio::awaitable<void> bindToRegionsAfter(Duration Delay, std::vector<RegionId> OfRoute,
+                                           std::vector<RegionId> OfTeam) {
+    co_await sleepFor(m_Context, Delay);
+    bindToRegions(std::move(OfRoute), std::move(OfTeam));
+  }
+
   HttpRequest request(std::string Path = "/x/1", std::string Key = "k") {
     HttpRequest Request;
     Request.m_Method = "POST";
@@ -437,6 +452,28 @@
   CHECK(Other.requests().front().find("after: 2") != std::string::npos);
 }
 
+// Guards against an attempt in a region that the newest configuration forbids.
+TEST_CASE_FIXTURE(Fixture, "a request is repeated only in the regions of the newest configuration") {
+  const std::vector<RegionId> West{RegionId("west")};
+  const std::vector<RegionId> Hill{RegionId("hill")};
+  configure(RequestKind::Stream, 3);
+  add(alwaysReply({streamHead() + events(1, 2), milliseconds(200), true}));
+  ScriptedUpstream &SameRegion = add(alwaysReply({streamHead() + events(3, 4) + StreamEnd}));
+  ScriptedUpstream &NewRegion = add(alwaysReply({streamHead() + events(3, 4) + StreamEnd}), "hill-a");
+  SUBCASE("of its route") {
+    bindToRegions(West, {});
+    spawn(m_Context, bindToRegionsAfter(milliseconds(100), Hill, {}));
+  }
+  SUBCASE("of its team") {
+    bindToRegions({}, West);
+    spawn(m_Context, bindToRegionsAfter(milliseconds(100), {}, Hill));
+  }
+  const ReceivedResponse Received = send(request());
+  CHECK(Received.m_Complete);
+  CHECK(SameRegion.requests().empty());
+  CHECK(NewRegion.requests().size() == 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a silent stream fails over to another upstream") {
   configure(RequestKind::Stream, 3);
   add(alwaysReply({streamHead() + events(1, 2), milliseconds(0), false, milliseconds(5000)}));
