--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -90,6 +90,9 @@
     Duration m_Backoff{};
     bool m_Unavailable = false;
     std::optional<StoreEra> m_AppliedEra = std::nullopt; ///< Era of the last response applied.
+    bool m_ReadNext = false; ///< Read the full snapshot next, though a watch could go on from the cursor.
+
+    bool reads() const { return m_ReadNext || !m_Cursor; }
   };
 
   /// One watched table: its calls, and what the gateway does with its changes.
@@ -100,7 +103,7 @@
         m_Watch;
     /// May set the pause before the next call.
     std::function<void(Feed &, const Changes &)> m_Apply;
-    /// Called before each call of the store. Returns whether the table is needed now; may reset the cursor.
+    /// Called before each call of the store. Returns whether the table is needed now; may choose the call.
     std::function<bool(Feed &)> m_Prepare = [](Feed &) { return true; };
     /// Called after a call that failed.
     std::function<void(const Error &)> m_Failed = [](const Error &) {};
@@ -112,8 +115,8 @@
     Table.m_Read = &ControlStore::readOrders;
     Table.m_Watch = &ControlStore::watchOrders;
     Table.m_Prepare = [this](Feed &Orders) {
-      if (m_OrderPacer.next().m_Call == OrderCall::Read)
-        Orders.m_Cursor.reset();
+      Orders.m_ReadNext = m_OrderPacer.next().m_Call == OrderCall::Read;
+      m_OrderCall = Orders.reads() ? OrderCall::Read : OrderCall::Watch;
       m_OrderCallSentAt = m_Clock();
       return true;
     };
@@ -127,11 +130,11 @@
       const NextOrderCall Next = Changes.m_FullSnapshot
                                      ? m_OrderPacer.onRead(ConfigChanged, Now - m_OrderCallSentAt, Now)
                                      : m_OrderPacer.onWatched(ConfigChanged, Changes.m_SupersededCount, Now);
-      Orders.m_Interval = Next.m_Pause;
+      Orders.m_Interval = Next.m_Pause + (Next.m_Call == OrderCall::Read ? randomPause() : Duration::zero());
     };
     Table.m_Failed = [this](const Error &Failure) {
       if (Failure.m_Code == ErrorCode::PlatformTimeout)
-        m_OrderPacer.onTimedOut();
+        m_OrderPacer.onTimedOut(m_OrderCall);
     };
     return Table;
   }
@@ -227,7 +230,7 @@
     Feed &Followed = Table.m_Feed;
     if (Followed.m_Cursor && m_State.m_StoreEras.isStale(Followed.m_Cursor->m_Era))
       Followed.m_Cursor.reset();
-    if (!Followed.m_Cursor)
+    if (Followed.reads())
       co_return co_await Table.m_Read(m_Store);
     const std::shared_ptr<PendingAnswer<Changes>> Pending =
         std::make_shared<PendingAnswer<Changes>>(m_Context);
@@ -249,7 +252,7 @@
   /// Returns whether a response is still valid. Otherwise the table has to be read again.
   bool accepts(const Feed &Table, StoreEra Era) {
     observeEra(Era, Table.m_Name);
-    if (m_State.m_StoreEras.accepts(Era, Table.m_Cursor))
+    if (m_State.m_StoreEras.accepts(Era, Table.reads() ? std::nullopt : Table.m_Cursor))
       return true;
     m_Log.add(LogClass::State, "store_response_dropped",
               {{"table", Table.m_Name},
@@ -281,9 +284,6 @@
       Poll.second();
   }
 
-  /// Spreads the calls of several tables and daemons.
-  Duration randomPause() { return Duration(m_Random() % MinBackoff.count()); }
-
   /// Result of one call, for scheduling the next one.
   struct CallResult {
     StoreCursor m_Cursor;
@@ -386,6 +386,9 @@
     co_await sleepFor(m_Context, Table.m_Backoff + randomPause());
   }
 
+  /// Spreads the calls of several tables and daemons.
+  Duration randomPause() { return Duration(m_Random() % MinBackoff.count()); }
+
   /// @return whether the configuration changed
   bool apply(const OrderChanges &Changes) {
     const bool ConfigChanged = applyConfig(Changes);
@@ -551,6 +554,7 @@
   Ticker m_Ticker;
   bool m_Stopped = false;
   OrderPacer m_OrderPacer;
+  OrderCall m_OrderCall = OrderCall::Read; ///< The latest call for the orders.
   TimePoint m_OrderCallSentAt{};
   std::map<std::string_view, std::function<void()>> m_OpenPolls; ///< Ends the wait for a long poll, by table.
   std::optional<TimePoint> m_RegistryRecoveredAt;
