--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -407,7 +407,7 @@
     for (const ServiceId &Service : Changes.m_TrialsWithdrawn)
       m_Rollouts->withdrawOrder(Service);
     if (Changes.m_FullSnapshot)
-      m_Rollouts->onOrdersRead();
+      m_Rollouts->onOrdersRead(Changes.m_Trials);
     return ConfigChanged;
   }
 
--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -49,7 +49,16 @@
   ++m_Restores;
 }
 
-void RolloutCoordinator::onOrdersRead() {
+void RolloutCoordinator::onOrdersRead(const std::vector<TrialOrder> &Orders) {
+  std::set<ServiceId> Ordered;
+  for (const TrialOrder &Order : Orders)
+    Ordered.insert(Order.m_Service);
+  std::vector<ServiceId> Withdrawn;
+  for (const auto &Trial : m_State.m_Trials)
+    if (Ordered.count(Trial.first) == 0 && isOrderConfirmed(Trial.first))
+      Withdrawn.push_back(Trial.first);
+  for (const ServiceId &Service : Withdrawn)
+    withdrawOrder(Service);
   if (m_Recovery == Recovery::OrdersNeeded)
     m_Recovery = Recovery::StatusesNeeded;
 }
--- a/packages/gateway/src/rollout_coordinator.h
+++ b/packages/gateway/src/rollout_coordinator.h
@@ -27,8 +27,9 @@
   /// @brief Called when the store has come back from an older copy: rows are lost, and row versions are given
   /// out again. Orders, statuses and evidence that are applied later must have been read since.
   void onStoreRestored();
-  /// @brief Called after the orders of a full snapshot have been applied.
-  void onOrdersRead();
+  /// @brief Called after the orders of a full snapshot have been applied. A rollout whose order is not in it
+  /// was withdrawn, unless a restore of the store may have lost the order.
+  void onOrdersRead(const std::vector<TrialOrder> &Orders);
 
   void applyOrder(const TrialOrder &Order);
   void withdrawOrder(const ServiceId &Service);
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -103,7 +103,7 @@
   void readOrders(const std::vector<TrialOrder> &Orders) {
     for (const TrialOrder &Order : Orders)
       m_Rollouts->applyOrder(Order);
-    m_Rollouts->onOrdersRead();
+    m_Rollouts->onOrdersRead(Orders);
   }
 
   /// What the control service does when the statuses are due.
@@ -158,6 +158,21 @@
 } // namespace
 
 // Guards against exposure and decisions that are forgotten when the operator writes its orders again.
+// Guards against a rollout that goes on because its order was removed between two snapshots.
+TEST_CASE_FIXTURE(Fixture,
+                  "a rollout whose order is missing in a snapshot ends, unless a restore lost the order") {
+  startTrial();
+  SUBCASE("removed") {
+    readOrders({});
+    CHECK_FALSE(m_State->trialOf(TestService));
+  }
+  SUBCASE("lost") {
+    m_Rollouts->onStoreRestored();
+    readOrders({});
+    CHECK(m_State->trialOf(TestService));
+  }
+}
+
 TEST_CASE_FIXTURE(Fixture, "a rollout continues when its order is written again after a restore") {
   startTrial();
   recordFailures(1);
