--- a/packages/gateway/include/bulrushpitch/gateway/order_pacer.h
+++ b/packages/gateway/include/bulrushpitch/gateway/order_pacer.h
@@ -49,6 +49,7 @@
   const NextOrderCall &next() const { return m_Next; }
 
 private:
+  bool m_First = true;                  ///< No snapshot has been read yet.
   std::optional<TimePoint> m_ChangedAt; ///< When the configuration last changed here.
   NextOrderCall m_Next{OrderCall::Read, Duration::zero()};
 };
--- a/packages/gateway/src/order_pacer.cpp
+++ b/packages/gateway/src/order_pacer.cpp
@@ -1,6 +1,7 @@
 #include "bulrushpitch/gateway/order_pacer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrushpitch {
 
@@ -33,12 +34,12 @@
 }
 
 NextOrderCall OrderPacer::onRead(bool ConfigChanged, Duration Took, TimePoint Now) {
-  const bool First = !m_ChangedAt;
-  if (ConfigChanged)
-    m_ChangedAt = Now;
+  const bool First = std::exchange(m_First, false);
   m_Next = {OrderCall::Watch, CalmInterval};
-  if (ConfigChanged && !First)
-    m_Next = {OrderCall::Read, std::clamp(Took * PausePerTransferTime, BusyInterval, MaxBusyInterval)};
+  if (!ConfigChanged || First)
+    return m_Next;
+  m_ChangedAt = Now;
+  m_Next = {OrderCall::Read, std::clamp(Took * PausePerTransferTime, BusyInterval, MaxBusyInterval)};
   return m_Next;
 }
 
--- a/packages/gateway/tests/order_pacer_test.cpp
+++ b/packages/gateway/tests/order_pacer_test.cpp
@@ -45,6 +45,11 @@
   CHECK(Pacer.onWatched(true, 2, at(5000)).m_Call == OrderCall::Read);
 }
 
+TEST_CASE("a change soon after the first snapshot leaves the watch as it is") {
+  OrderPacer Pacer = startedPacer();
+  CHECK(Pacer.onWatched(true, 0, at(300)).m_Call == OrderCall::Watch);
+}
+
 TEST_CASE("an answer without a configuration leaves the watch as it is") {
   OrderPacer Pacer = startedPacer();
   Pacer.onWatched(true, 0, at(5000));
