gateway: what a restored store has lost stays in force until it is written again

Four tests of the control service fail without the joins: domainsOut() 0 == 1, usable(Draining) true, Heartbeats 1 == 2, no quarantine. "a rollout state is not written on a row version of an older era" has the order in the restored store now: nothing is written for an order that isn't in force.

--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -1,5 +1,6 @@
 #include "bulrushpitch/gateway/control_service.h"
 
+#include "bulrushpitch/forward/out_of_service_domains.h"
 #include "bulrushpitch/gateway/order_pacer.h"
 #include "outcome_text.h"
 #include "rollout_coordinator.h"
@@ -280,6 +281,11 @@
               {{"table", Table},
                {"old_era", static_cast<std::int64_t>(Before.value())},
                {"new_era", static_cast<std::int64_t>(Now.value())}});
+    m_RegistryRecoveredAt = m_Clock();
+    m_Rollouts->onStoreRestored();
+    if (m_CrashesRead)
+      m_State.m_PromptQuarantine.onStoreRestored(m_Clock());
+    spawn(m_Context, registerAgain(shared_from_this()));
     for (const auto &Poll : m_OpenPolls)
       Poll.second();
   }
@@ -295,26 +301,49 @@
   }
 
   static asio::awaitable<void> followDaemons(std::shared_ptr<Impl> Self) {
-    DaemonMembership Membership;
-    std::optional<TimePoint> HeartbeatSentAt;
     while (!Self->m_Stopped) {
-      const TimePoint Now = Self->m_Clock();
-      if (!HeartbeatSentAt || Now - *HeartbeatSentAt >= HeartbeatInterval) {
-        const Expected<Done> Registered =
-            co_await Self->m_Store.registerDaemon(Self->m_State.m_PlacementContext.m_Instance);
-        Self->logFailure("heartbeat_failed", Registered);
-        if (Registered)
-          HeartbeatSentAt = Now;
-      }
-      const Expected<std::vector<ListedDaemon>> Listed = co_await Self->m_Store.readDaemons();
-      Self->logFailure("daemons_not_read", Listed);
-      if (Listed && !Self->isOutdated(*Listed)) {
-        Membership.update(*Listed, Self->m_Clock());
-        Self->m_State.setDaemons(Membership.alive(Self->m_Clock()));
-        co_await Self->removeExpired(Membership.expired(Self->m_Clock()));
-      }
-      co_await sleepFor(Self->m_Context, HeartbeatSentAt ? DaemonListInterval : MaxBackoff);
+      const bool HeartbeatDue =
+          !Self->m_HeartbeatSentAt || Self->m_Clock() - *Self->m_HeartbeatSentAt >= HeartbeatInterval;
+      if (HeartbeatDue)
+        co_await Self->sendHeartbeat();
+      co_await Self->readDaemons();
+      co_await sleepFor(Self->m_Context, Self->m_HeartbeatSentAt ? DaemonListInterval : MaxBackoff);
+    }
+  }
+
+  asio::awaitable<void> sendHeartbeat() {
+    const TimePoint Now = m_Clock();
+    const Expected<Done> Registered = co_await m_Store.registerDaemon(m_State.m_PlacementContext.m_Instance);
+    logFailure("heartbeat_failed", Registered);
+    if (Registered)
+      m_HeartbeatSentAt = Now;
+  }
+
+  asio::awaitable<void> readDaemons() {
+    const Expected<std::vector<ListedDaemon>> Listed = co_await m_Store.readDaemons();
+    logFailure("daemons_not_read", Listed);
+    if (!Listed || isOutdated(*Listed))
+      co_return;
+    const StoreEra Era = Listed->empty() ? m_State.m_StoreEras.current() : Listed->front().m_Era;
+    if (std::exchange(m_DaemonsEra, Era).value_or(Era) != Era)
+      m_Membership.updateAfterRestore(*Listed, m_Clock());
+    else
+      m_Membership.update(*Listed, m_Clock());
+    m_State.setDaemons(m_Membership.alive(m_Clock()));
+    co_await removeExpired(m_Membership.expired(m_Clock()));
+  }
+
+  /// After a restore of the store: this daemon's row may be lost, and the others' shares of the common limits
+  /// would grow.
+  static asio::awaitable<void> registerAgain(std::shared_ptr<Impl> Self) {
+    const std::uint64_t Restores = Self->m_State.m_StoreEras.restores();
+    Self->m_HeartbeatSentAt.reset();
+    co_await sleepFor(Self->m_Context, Self->randomPause());
+    while (!Self->m_Stopped && !Self->m_HeartbeatSentAt && Restores == Self->m_State.m_StoreEras.restores()) {
+      co_await Self->sendHeartbeat();
+      co_await sleepFor(Self->m_Context, MaxBackoff);
     }
+    co_await Self->readDaemons();
   }
 
   /// Returns whether the list was read before a restore of the store.
@@ -392,16 +421,13 @@
   /// @return whether the configuration changed
   bool apply(const OrderChanges &Changes) {
     const bool ConfigChanged = applyConfig(Changes);
-    std::set<DomainId> Out = Changes.m_FullSnapshot ? std::set<DomainId>() : m_State.m_Pool.domainsOut();
-    for (const DomainId &Domain : Changes.m_DomainsOut) {
-      Out.insert(Domain);
-      m_Log.add(LogClass::State, "domain_out", {{"domain", std::string_view(Domain.value())}});
-    }
-    for (const DomainId &Domain : Changes.m_DomainsBack) {
-      Out.erase(Domain);
-      m_Log.add(LogClass::State, "domain_back", {{"domain", std::string_view(Domain.value())}});
-    }
-    m_State.m_Pool.setDomainsOut(Out, m_Clock());
+    if (Changes.m_AfterRestore)
+      m_DomainsOut.replaceAllAfterRestore(Changes.m_DomainsOut, m_Clock());
+    else if (Changes.m_FullSnapshot)
+      m_DomainsOut.replaceAll(Changes.m_DomainsOut);
+    else
+      m_DomainsOut.update(Changes.m_DomainsOut, Changes.m_DomainsBack);
+    applyDomainsOut();
     for (const TrialOrder &Order : Changes.m_Trials)
       m_Rollouts->applyOrder(Order);
     for (const ServiceId &Service : Changes.m_TrialsWithdrawn)
@@ -411,6 +437,20 @@
     return ConfigChanged;
   }
 
+  /// Puts the failure domains out of service in force, and logs which have changed.
+  void applyDomainsOut() {
+    const std::set<DomainId> Before = m_State.m_Pool.domainsOut();
+    const std::set<DomainId> Out = m_DomainsOut.domains();
+    for (const DomainId &Domain : Out)
+      if (Before.count(Domain) == 0)
+        m_Log.add(LogClass::State, "domain_out", {{"domain", std::string_view(Domain.value())}});
+    for (const DomainId &Domain : Before)
+      if (Out.count(Domain) == 0)
+        m_Log.add(LogClass::State, "domain_back", {{"domain", std::string_view(Domain.value())}});
+    if (Before != Out)
+      m_State.m_Pool.setDomainsOut(Out, m_Clock());
+  }
+
   /// @return the routes that are bound to regions, for the log; only the first ones
   static std::string regionsByRoute(const ForwardConfig &Config) {
     constexpr std::size_t MaxTextBytes = 400;
@@ -450,7 +490,10 @@
                                ? EntryGracePeriod - (Now - *m_RegistryRecoveredAt)
                                : Duration::zero();
     if (Changes.m_FullSnapshot) {
-      m_State.m_Pool.replaceAll(Changes.m_Updated, Now, Grace);
+      if (Changes.m_AfterRestore)
+        m_State.m_Pool.replaceAllAfterRestore(Changes.m_Updated, Now, EntryGracePeriod);
+      else
+        m_State.m_Pool.replaceAll(Changes.m_Updated, Now, Grace);
       for (const RegisteredUpstream &Entry : Changes.m_Updated)
         m_Rollouts->recordUpstream(Entry, Now);
       m_State.m_RegistryRead = true;
@@ -476,9 +519,11 @@
   }
 
   void apply(const PromptEvidenceChanges &Changes) {
+    m_CrashesRead = true;
     if (Changes.m_FullSnapshot)
-      m_State.m_PromptQuarantine.forgetOthers();
-    m_State.m_PromptQuarantine.onEvidence(Changes.m_Updated, m_Clock());
+      m_State.m_PromptQuarantine.onSnapshot(Changes.m_Updated, m_Clock());
+    else
+      m_State.m_PromptQuarantine.onEvidence(Changes.m_Updated, m_Clock());
   }
 
   static asio::awaitable<void> readPromptEvidence(std::shared_ptr<Impl> Self) {
@@ -490,6 +535,8 @@
 
   void onTick() {
     m_State.m_Pool.expire(m_Clock());
+    if (!m_DomainsOut.expire(m_Clock()).empty())
+      applyDomainsOut();
     m_Log.flush();
     m_Rollouts->onTick();
     m_State.m_PromptQuarantine.update(
@@ -558,6 +605,11 @@
   TimePoint m_OrderCallSentAt{};
   std::map<std::string_view, std::function<void()>> m_OpenPolls; ///< Ends the wait for a long poll, by table.
   std::optional<TimePoint> m_RegistryRecoveredAt;
+  OutOfServiceDomains m_DomainsOut;
+  DaemonMembership m_Membership;
+  std::optional<StoreEra> m_DaemonsEra; ///< Era in which the list of daemons was last read.
+  std::optional<TimePoint> m_HeartbeatSentAt;
+  bool m_CrashesRead = false; ///< Whether the evidence on crashes has been read.
   bool m_CrashWriteInProgress = false;
   TimePoint m_NextCrashWriteAt{};
   std::set<PromptPartId> m_LoggedQuarantine;
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -114,11 +114,14 @@
     co_return Done{};
   }
   asio::awaitable<Expected<std::vector<ListedDaemon>>> readDaemons() override {
-    co_return std::vector<ListedDaemon>{{InstanceId("d0"), 1, m_Era}, {InstanceId("d1"), 2, m_Era}};
+    std::vector<ListedDaemon> Listed{{InstanceId("d0"), 1, m_Era}, {InstanceId("d1"), 2, m_Era}};
+    Listed.resize(m_DaemonCount);
+    co_return Listed;
   }
 
   EraHook m_OnEra;
   StoreEra m_Era{1};
+  std::size_t m_DaemonCount = 2; ///< Of the list of daemons.
   bool m_Unavailable = false;
   bool m_HistoryLost = false;
   bool m_RejectsWrites = false;
@@ -204,6 +207,7 @@
       co_return timedOut();
     OrderChanges Snapshot = configWithRevision(revision());
     Snapshot.m_Cursor = Snapshot.m_Config->m_Revision.value();
+    Snapshot.m_Era = m_Era;
     Snapshot.m_FullSnapshot = true;
     co_await sleepFor(m_LinkContext, TransferTime);
     co_return Snapshot;
@@ -219,9 +223,11 @@
     }
     OrderChanges Next;
     Next.m_Cursor = revision();
+    Next.m_Era = m_Era;
     if (Next.m_Cursor == Cursor)
       co_return Next;
     Next = configWithRevision(revision());
+    Next.m_Era = m_Era;
     Next.m_Cursor = Next.m_Config->m_Revision.value();
     Next.m_SupersededCount = Next.m_Cursor - Cursor - 1;
     co_await sleepFor(m_LinkContext, TransferTime * (Next.m_Cursor - Cursor));
@@ -622,6 +628,8 @@
   m_Store.m_Statuses = {TrialStatus{ServiceId("s"), VersionId("v2"), TrialState::Running, 25}};
   start();
   orderTrial();
+  // Nothing is written for an order that the restored store does not have.
+  m_Store.m_Orders.m_Trials = {TrialOrder{ServiceId("s"), VersionId("v2"), std::chrono::seconds(100), 20}};
   const std::size_t WritesBefore = m_Store.m_WrittenTrials.size();
   m_Store.m_TrialsUnreadable = true;
   showEra(StoreEra(2));
@@ -652,3 +660,54 @@
   runFor(milliseconds(1200));
   CHECK((m_Store.m_DaemonRemovals > 0) == !Restored);
 }
+
+// Guards against requests to a failure domain whose evacuation was acknowledged and then lost by the store.
+TEST_CASE_FIXTURE(Fixture,
+                  "a domain that is out of service stays out when a restored store lacks the order") {
+  m_Store.m_Orders.m_DomainsOut = {DomainId("west-a")};
+  start();
+  REQUIRE(m_State->m_Pool.domainsOut().count(DomainId("west-a")) == 1);
+  m_Store.m_Orders.m_DomainsOut.clear();
+  showEra(StoreEra(2));
+  runFor(milliseconds(1500));
+  CHECK(m_State->m_Pool.domainsOut().count(DomainId("west-a")) == 1);
+}
+
+// Guards against requests to an upstream that is leaving and whose last report the store has lost.
+TEST_CASE_FIXTURE(Fixture, "a restored registry neither revives a draining upstream nor removes a new one") {
+  m_Store.m_Upstreams.m_Updated.front().m_Draining = true;
+  start();
+  m_Store.m_Upstreams.m_Updated = {registeredUpstream("a")};
+  showEra(StoreEra(2));
+  runFor(milliseconds(1500));
+  const PooledUpstream *Draining = m_State->m_Pool.find(UpstreamId("a"));
+  REQUIRE(Draining);
+  CHECK_FALSE(m_State->m_Pool.usable(*Draining, systemClock()()));
+  const PooledUpstream *New = m_State->m_Pool.find(UpstreamId("b"));
+  REQUIRE(New);
+  CHECK(m_State->m_Pool.usable(*New, systemClock()()));
+}
+
+// Guards against shares of common limits that grow because the rows of daemons are lost.
+TEST_CASE_FIXTURE(Fixture,
+                  "a daemon registers again at once after a restore, and counts the others as before") {
+  start();
+  const int HeartbeatsBefore = m_Store.m_Heartbeats;
+  REQUIRE(m_State->m_PlacementContext.m_Daemons.size() == 2);
+  m_Store.m_DaemonCount = 0;
+  showEra(StoreEra(2));
+  runFor(milliseconds(1500));
+  CHECK(m_Store.m_Heartbeats == HeartbeatsBefore + 1);
+  CHECK(m_State->m_PlacementContext.m_Daemons.size() == 2);
+}
+
+// Guards against deadly prompts that are let through because the store has lost the evidence.
+TEST_CASE_FIXTURE(Fixture, "evidence on crashes survives a restore that has lost it") {
+  m_Store.m_PromptEvidence = {evidenceOf("d1")};
+  start();
+  REQUIRE(m_State->m_PromptQuarantine.find(DeadlyParts, systemClock()()));
+  m_Store.m_PromptEvidence.clear();
+  showEra(StoreEra(2));
+  runFor(milliseconds(1500));
+  CHECK(m_State->m_PromptQuarantine.find(DeadlyParts, systemClock()()));
+}
