--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -88,6 +88,8 @@
     m_Metrics
         .gauge("bulrushpitch_orders_age_seconds", "Time since the store last answered a call for the orders.")
         .set(std::chrono::duration<double>(m_State.ordersAge(m_Clock())).count());
+    m_Metrics.gauge("bulrushpitch_store_restores_count", "Restores of the store noticed since the start.")
+        .set(static_cast<double>(m_State.m_StoreEras.restores()));
     m_Metrics.gauge("bulrushpitch_upstreams_count", "Upstreams in the registry as known here.")
         .set(static_cast<double>(m_State.m_Pool.size()));
     m_Metrics.gauge("bulrushpitch_quarantined_prompt_parts_count", "Parts of prompts in quarantine.")
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -1,8 +1,12 @@
 #include "bulrushpitch/gateway/control_service.h"
 
+#include "bulrushpitch/forward/out_of_service_domains.h"
 #include "bulrushpitch/gateway/order_pacer.h"
+#include "outcome_text.h"
+#include "rollout_coordinator.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -30,6 +34,8 @@
 constexpr Duration CrashPublishInterval = milliseconds(500);
 constexpr Duration MinBackoff = milliseconds(100);
 constexpr Duration MaxBackoff = milliseconds(800);
+/// Far above the timeout of any call.
+constexpr Duration CallTimeLimit = std::chrono::minutes(10);
 /// Registry entries that expired while the store was unavailable are written again within this time after its
 /// recovery.
 constexpr Duration EntryGracePeriod = milliseconds(2200);
@@ -41,26 +47,9 @@
 constexpr std::string_view PartClearanceKey = "part clearance";
 /// Interval of onTick(), and of the checks whether rollout statuses and evidence have to be watched.
 constexpr Duration TickInterval = milliseconds(200);
-/// Delay per rank before a daemon writes a rollout status, so that usually only the first one calls the
-/// store.
-constexpr Duration TrialWriteStagger = milliseconds(350);
-constexpr Duration TrialWriteRetryInterval = milliseconds(700);
-constexpr Duration EvidencePublishInterval = milliseconds(800);
 /// Batches the evidence of several daemons into one call.
 constexpr Duration EvidenceWatchInterval = milliseconds(300);
 
-std::string_view nameOf(TrialState State) {
-  switch (State) {
-  case TrialState::Running:
-    return "running";
-  case TrialState::Completed:
-    return "completed";
-  case TrialState::RolledBack:
-    return "rolled back";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 class ControlService::Impl : public std::enable_shared_from_this<ControlService::Impl> {
@@ -69,10 +58,15 @@
        RandomHook Random, ConfigHook OnConfig)
       : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)),
         m_Random(std::move(Random)), m_OnConfig(std::move(OnConfig)),
+        m_Rollouts(std::make_shared<RolloutCoordinator>(Context, Store, State, Log, m_Clock)),
         m_Ticker(
             Context, [] { return TickInterval; }, [this] { onTick(); }) {}
 
   void start() {
+    m_Store.reportEras([Weak = weak_from_this()](StoreEra Era, std::string_view Table) {
+      if (const std::shared_ptr<Impl> Self = Weak.lock())
+        Self->observeEra(Era, Table);
+    });
     spawn(m_Context, follow(shared_from_this(), orders()));
     spawn(m_Context, follow(shared_from_this(), upstreams()));
     spawn(m_Context, follow(shared_from_this(), trialStatuses()));
@@ -93,9 +87,10 @@
     std::string_view m_Name;
     Duration m_Interval = WatchInterval; ///< Pause between two calls.
     Duration m_WatchTimeout = WatchTimeout;
-    std::optional<std::uint64_t> m_Cursor = std::nullopt; ///< Empty: read the full snapshot next.
+    std::optional<StoreCursor> m_Cursor = std::nullopt; ///< Empty: read the full snapshot next.
     Duration m_Backoff{};
     bool m_Unavailable = false;
+    std::optional<StoreEra> m_AppliedEra = std::nullopt; ///< Era of the last response applied.
     bool m_ReadNext = false; ///< Read the full snapshot next, though a watch could go on from the cursor.
 
     bool reads() const { return m_ReadNext || !m_Cursor; }
@@ -165,11 +160,11 @@
     Table.m_Feed = {"trials", TrialStatusWatchInterval};
     Table.m_Read = &ControlStore::readTrials;
     Table.m_Watch = &ControlStore::watchTrials;
-    Table.m_Apply = [this](Feed &, const TrialChanges &Changes) { apply(Changes); };
+    Table.m_Apply = [this](Feed &, const TrialChanges &Changes) { m_Rollouts->apply(Changes); };
     Table.m_Prepare = [this](Feed &Trials) {
-      if (std::exchange(m_TrialSnapshotNeeded, false))
+      if (m_Rollouts->takeStatusSnapshotNeeded())
         Trials.m_Cursor.reset();
-      return anyTrialRuns();
+      return m_Rollouts->needsStatuses();
     };
     return Table;
   }
@@ -180,8 +175,12 @@
     Table.m_Feed = {"evidence", EvidenceWatchInterval};
     Table.m_Read = &ControlStore::readEvidence;
     Table.m_Watch = &ControlStore::watchEvidence;
-    Table.m_Apply = [this](Feed &, const EvidenceChanges &Changes) { apply(Changes); };
-    Table.m_Prepare = [this](Feed &) { return needsEvidence(); };
+    Table.m_Apply = [this](Feed &, const EvidenceChanges &Changes) { m_Rollouts->apply(Changes); };
+    Table.m_Prepare = [this](Feed &Evidence) {
+      if (m_Rollouts->takeEvidenceSnapshotNeeded())
+        Evidence.m_Cursor.reset();
+      return m_Rollouts->needsEvidence();
+    };
     return Table;
   }
 
@@ -209,53 +208,147 @@
         co_await sleepFor(Self->m_Context, TickInterval);
         continue;
       }
-      const Expected<Changes> Outcome = co_await Self->callNext(Table);
-      if (Outcome)
-        Table.m_Apply(Table.m_Feed, *Outcome);
+      Answer<Changes> Outcome = co_await Self->callNext(Table);
+      if (!Outcome || (*Outcome && !Self->accepts(Table.m_Feed, (*Outcome)->m_Era))) {
+        Table.m_Feed.m_Cursor.reset();
+        co_await sleepFor(Self->m_Context, MinBackoff + Self->randomPause());
+        continue;
+      }
+      if (*Outcome)
+        Self->applyAccepted(Table, **Outcome);
       else
-        Table.m_Failed(Outcome.error());
-      co_await Self->waitBeforeNextCall(Table.m_Feed, callResultOf(Outcome));
+        Table.m_Failed((*Outcome).error());
+      co_await Self->waitBeforeNextCall(Table.m_Feed, callResultOf(*Outcome));
     }
   }
 
+  /// Outcome of a call; nothing if a restore of the store made the call pointless.
+  template <typename Changes> using Answer = std::optional<Expected<Changes>>;
+  template <typename Changes> using PendingAnswer = OneShot<Answer<Changes>>;
+
   /// Reads the full snapshot, or waits for changes since the last call.
+  template <typename Changes> asio::awaitable<Answer<Changes>> callNext(WatchedTable<Changes> &Table) {
+    Feed &Followed = Table.m_Feed;
+    if (Followed.m_Cursor && m_State.m_StoreEras.isStale(Followed.m_Cursor->m_Era))
+      Followed.m_Cursor.reset();
+    if (Followed.reads())
+      co_return co_await Table.m_Read(m_Store);
+    const std::shared_ptr<PendingAnswer<Changes>> Pending =
+        std::make_shared<PendingAnswer<Changes>>(m_Context);
+    m_OpenPolls[Followed.m_Name] = [Pending] { Pending->set(std::nullopt); };
+    spawn(m_Context,
+          answer(Table.m_Watch(m_Store, Followed.m_Cursor->m_Version, Followed.m_WatchTimeout), Pending));
+    const std::optional<Answer<Changes>> Outcome = co_await Pending->wait(CallTimeLimit);
+    m_OpenPolls.erase(Followed.m_Name);
+    co_return Outcome.value_or(std::nullopt);
+  }
+
   template <typename Changes>
-  asio::awaitable<Expected<Changes>> callNext(const WatchedTable<Changes> &Table) {
-    const Feed &Followed = Table.m_Feed;
-    return Followed.reads() ? Table.m_Read(m_Store)
-                            : Table.m_Watch(m_Store, *Followed.m_Cursor, Followed.m_WatchTimeout);
+  static asio::awaitable<void> answer(asio::awaitable<Expected<Changes>> Call,
+                                      std::shared_ptr<PendingAnswer<Changes>> Pending) {
+    Answer<Changes> Outcome = co_await std::move(Call);
+    Pending->set(std::move(Outcome));
+  }
+
+  /// Returns whether a response is still valid. Otherwise the table has to be read again.
+  bool accepts(const Feed &Table, StoreEra Era) {
+    observeEra(Era, Table.m_Name);
+    if (m_State.m_StoreEras.accepts(Era, Table.reads() ? std::nullopt : Table.m_Cursor))
+      return true;
+    m_Log.add(LogClass::State, "store_response_dropped",
+              {{"table", Table.m_Name},
+               {"era", static_cast<std::int64_t>(Era.value())},
+               {"current", static_cast<std::int64_t>(m_State.m_StoreEras.current().value())}});
+    return false;
+  }
+
+  template <typename Changes> void applyAccepted(WatchedTable<Changes> &Table, Changes &Accepted) {
+    Feed &Followed = Table.m_Feed;
+    Accepted.m_AfterRestore = Followed.m_AppliedEra && *Followed.m_AppliedEra != Accepted.m_Era;
+    Followed.m_AppliedEra = Accepted.m_Era;
+    Table.m_Apply(Followed, Accepted);
+  }
+
+  void observeEra(StoreEra Era, std::string_view Table) {
+    if (const std::optional<StoreEra> Before = m_State.m_StoreEras.observe(Era))
+      onStoreRestored(*Before, Era, Table);
+  }
+
+  /// Called once per restore of the store, before anything that was read after it is applied. Each table is
+  /// then read again; its first changes have m_AfterRestore set.
+  void onStoreRestored(StoreEra Before, StoreEra Now, std::string_view Table) {
+    m_Log.add(LogClass::State, "store_restored",
+              {{"table", Table},
+               {"old_era", static_cast<std::int64_t>(Before.value())},
+               {"new_era", static_cast<std::int64_t>(Now.value())}});
+    m_RegistryRecoveredAt = m_Clock();
+    m_Rollouts->onStoreRestored();
+    if (m_CrashesRead)
+      m_State.m_PromptQuarantine.onStoreRestored(m_Clock());
+    spawn(m_Context, registerAgain(shared_from_this()));
+    for (const auto &Poll : m_OpenPolls)
+      Poll.second();
   }
 
   /// Result of one call, for scheduling the next one.
   struct CallResult {
-    std::uint64_t m_Cursor = 0;
+    StoreCursor m_Cursor;
     const Error *m_Failure = nullptr;
   };
   template <typename Changes> static CallResult callResultOf(const Expected<Changes> &Outcome) {
-    return Outcome ? CallResult{Outcome->m_Cursor, nullptr} : CallResult{0, &Outcome.error()};
+    return Outcome ? CallResult{{Outcome->m_Era, Outcome->m_Cursor}, nullptr}
+                   : CallResult{{}, &Outcome.error()};
   }
 
   static asio::awaitable<void> followDaemons(std::shared_ptr<Impl> Self) {
-    DaemonMembership Membership;
-    std::optional<TimePoint> HeartbeatSentAt;
     while (!Self->m_Stopped) {
-      const TimePoint Now = Self->m_Clock();
-      if (!HeartbeatSentAt || Now - *HeartbeatSentAt >= HeartbeatInterval) {
-        const Expected<Done> Registered =
-            co_await Self->m_Store.registerDaemon(Self->m_State.m_PlacementContext.m_Instance);
-        Self->logFailure("heartbeat_failed", Registered);
-        if (Registered)
-          HeartbeatSentAt = Now;
-      }
-      const Expected<std::vector<ListedDaemon>> Listed = co_await Self->m_Store.readDaemons();
-      Self->logFailure("daemons_not_read", Listed);
-      if (Listed) {
-        Membership.update(*Listed, Self->m_Clock());
-        Self->m_State.setDaemons(Membership.alive(Self->m_Clock()));
-        co_await Self->removeExpired(Membership.expired(Self->m_Clock()));
-      }
-      co_await sleepFor(Self->m_Context, HeartbeatSentAt ? DaemonListInterval : MaxBackoff);
+      const bool HeartbeatDue =
+          !Self->m_HeartbeatSentAt || Self->m_Clock() - *Self->m_HeartbeatSentAt >= HeartbeatInterval;
+      if (HeartbeatDue)
+        co_await Self->sendHeartbeat();
+      co_await Self->readDaemons();
+      co_await sleepFor(Self->m_Context, Self->m_HeartbeatSentAt ? DaemonListInterval : MaxBackoff);
+    }
+  }
+
+  asio::awaitable<void> sendHeartbeat() {
+    const TimePoint Now = m_Clock();
+    const Expected<Done> Registered = co_await m_Store.registerDaemon(m_State.m_PlacementContext.m_Instance);
+    logFailure("heartbeat_failed", Registered);
+    if (Registered)
+      m_HeartbeatSentAt = Now;
+  }
+
+  asio::awaitable<void> readDaemons() {
+    const Expected<std::vector<ListedDaemon>> Listed = co_await m_Store.readDaemons();
+    logFailure("daemons_not_read", Listed);
+    if (!Listed || isOutdated(*Listed))
+      co_return;
+    const StoreEra Era = Listed->empty() ? m_State.m_StoreEras.current() : Listed->front().m_Era;
+    if (std::exchange(m_DaemonsEra, Era).value_or(Era) != Era)
+      m_Membership.updateAfterRestore(*Listed, m_Clock());
+    else
+      m_Membership.update(*Listed, m_Clock());
+    m_State.setDaemons(m_Membership.alive(m_Clock()));
+    co_await removeExpired(m_Membership.expired(m_Clock()));
+  }
+
+  /// After a restore of the store: this daemon's row may be lost, and the others' shares of the common limits
+  /// would grow.
+  static asio::awaitable<void> registerAgain(std::shared_ptr<Impl> Self) {
+    const std::uint64_t Restores = Self->m_State.m_StoreEras.restores();
+    Self->m_HeartbeatSentAt.reset();
+    co_await sleepFor(Self->m_Context, Self->randomPause());
+    while (!Self->m_Stopped && !Self->m_HeartbeatSentAt && Restores == Self->m_State.m_StoreEras.restores()) {
+      co_await Self->sendHeartbeat();
+      co_await sleepFor(Self->m_Context, MaxBackoff);
     }
+    co_await Self->readDaemons();
+  }
+
+  /// Returns whether the list was read before a restore of the store.
+  bool isOutdated(const std::vector<ListedDaemon> &Listed) const {
+    return !Listed.empty() && m_State.m_StoreEras.isStale(Listed.front().m_Era);
   }
 
   /// Removes the rows of expired daemons, on one daemon only. Otherwise the list of daemons would grow
@@ -270,16 +363,23 @@
       PromptEvidence Withdrawn;
       Withdrawn.m_Daemon = Daemon.m_Id;
       logFailure("crashes_not_removed", co_await m_Store.writePromptEvidence(std::move(Withdrawn)));
-      const Expected<Done> Removed = co_await m_Store.removeDaemon(Daemon);
+      const Expected<Done> Removed = co_await removeDaemon(Daemon);
       const std::string Outcome = outcomeText(Removed, "removed");
       m_Log.add(LogClass::State, "daemon_lapsed",
                 {{"daemon", std::string_view(Daemon.m_Id.value())}, {"outcome", std::string_view(Outcome)}});
     }
   }
 
-  /// Text of an outcome for the log: what was done, or the error.
-  static std::string outcomeText(const Expected<Done> &Outcome, std::string_view DoneText) {
-    return Outcome ? std::string(DoneText) : Outcome.error().toString();
+  /// Error of a conditional write that is not sent: its row was read before a restore of the store.
+  static Error rowReplaced(std::string Step) {
+    return Error{ErrorCode::ConditionFailed, std::move(Step), "store", Ran::No,
+                 "the store was restored after the row was read"};
+  }
+
+  asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon Expired) {
+    if (m_State.m_StoreEras.isStale(Expired.m_Era))
+      co_return rowReplaced("remove daemon");
+    co_return co_await m_Store.removeDaemon(std::move(Expired));
   }
 
   template <typename Value> void logFailure(std::string_view Event, const Expected<Value> &Outcome) {
@@ -321,23 +421,36 @@
   /// @return whether the configuration changed
   bool apply(const OrderChanges &Changes) {
     const bool ConfigChanged = applyConfig(Changes);
-    std::set<DomainId> Out = Changes.m_FullSnapshot ? std::set<DomainId>() : m_State.m_Pool.domainsOut();
-    for (const DomainId &Domain : Changes.m_DomainsOut) {
-      Out.insert(Domain);
-      m_Log.add(LogClass::State, "domain_out", {{"domain", std::string_view(Domain.value())}});
-    }
-    for (const DomainId &Domain : Changes.m_DomainsBack) {
-      Out.erase(Domain);
-      m_Log.add(LogClass::State, "domain_back", {{"domain", std::string_view(Domain.value())}});
-    }
-    m_State.m_Pool.setDomainsOut(Out, m_Clock());
+    if (Changes.m_AfterRestore)
+      m_DomainsOut.replaceAllAfterRestore(Changes.m_DomainsOut, m_Clock());
+    else if (Changes.m_FullSnapshot)
+      m_DomainsOut.replaceAll(Changes.m_DomainsOut);
+    else
+      m_DomainsOut.update(Changes.m_DomainsOut, Changes.m_DomainsBack);
+    applyDomainsOut();
     for (const TrialOrder &Order : Changes.m_Trials)
-      applyTrialOrder(Order);
+      m_Rollouts->applyOrder(Order);
     for (const ServiceId &Service : Changes.m_TrialsWithdrawn)
-      m_State.m_Trials.erase(Service);
+      m_Rollouts->withdrawOrder(Service);
+    if (Changes.m_FullSnapshot)
+      m_Rollouts->onOrdersRead(Changes.m_Trials);
     return ConfigChanged;
   }
 
+  /// Puts the failure domains out of service in force, and logs which have changed.
+  void applyDomainsOut() {
+    const std::set<DomainId> Before = m_State.m_Pool.domainsOut();
+    const std::set<DomainId> Out = m_DomainsOut.domains();
+    for (const DomainId &Domain : Out)
+      if (Before.count(Domain) == 0)
+        m_Log.add(LogClass::State, "domain_out", {{"domain", std::string_view(Domain.value())}});
+    for (const DomainId &Domain : Before)
+      if (Out.count(Domain) == 0)
+        m_Log.add(LogClass::State, "domain_back", {{"domain", std::string_view(Domain.value())}});
+    if (Before != Out)
+      m_State.m_Pool.setDomainsOut(Out, m_Clock());
+  }
+
   /// @return the routes that are bound to regions, for the log; only the first ones
   static std::string regionsByRoute(const ForwardConfig &Config) {
     constexpr std::size_t MaxTextBytes = 400;
@@ -371,41 +484,24 @@
     return true;
   }
 
-  void applyTrialOrder(const TrialOrder &Order) {
-    const VersionTrial *Existing = m_State.trialOf(Order.m_Service);
-    if (Existing && Existing->order().m_OrderVersion == Order.m_OrderVersion)
-      return;
-    m_State.m_Trials.erase(Order.m_Service);
-    m_State.m_Trials.emplace(Order.m_Service, VersionTrial(Order, m_State.trialExposure(), m_Clock()));
-    m_TrialsWithStatus.erase(Order.m_Service);
-    m_TrialSnapshotNeeded = true;
-    m_Log.add(LogClass::State, "rollout_ordered",
-              {{"service", std::string_view(Order.m_Service.value())},
-               {"to", std::string_view(Order.m_TargetVersion.value())},
-               {"time_limit_s", std::chrono::duration<double>(Order.m_TimeLimit).count()}});
-  }
-
-  void recordTrialUpstream(const RegisteredUpstream &Entry, TimePoint Now) {
-    VersionTrial *Trial = m_State.trialOf(Entry.m_Service);
-    if (Trial && Entry.m_Version == Trial->order().m_TargetVersion)
-      Trial->onUpstreamRegistered(Now);
-  }
-
   void apply(const UpstreamChanges &Changes) {
     const TimePoint Now = m_Clock();
     const Duration Grace = m_RegistryRecoveredAt && Now - *m_RegistryRecoveredAt < EntryGracePeriod
                                ? EntryGracePeriod - (Now - *m_RegistryRecoveredAt)
                                : Duration::zero();
     if (Changes.m_FullSnapshot) {
-      m_State.m_Pool.replaceAll(Changes.m_Updated, Now, Grace);
+      if (Changes.m_AfterRestore)
+        m_State.m_Pool.replaceAllAfterRestore(Changes.m_Updated, Now, EntryGracePeriod);
+      else
+        m_State.m_Pool.replaceAll(Changes.m_Updated, Now, Grace);
       for (const RegisteredUpstream &Entry : Changes.m_Updated)
-        recordTrialUpstream(Entry, Now);
+        m_Rollouts->recordUpstream(Entry, Now);
       m_State.m_RegistryRead = true;
       return;
     }
     for (const RegisteredUpstream &Entry : Changes.m_Updated) {
       m_State.m_Pool.update(Entry, Now);
-      recordTrialUpstream(Entry, Now);
+      m_Rollouts->recordUpstream(Entry, Now);
       m_Log.add(LogClass::State, "upstream_changed",
                 {{"upstream", std::string_view(Entry.m_Id.value())},
                  {"service", std::string_view(Entry.m_Service.value())},
@@ -422,70 +518,27 @@
     }
   }
 
-  void apply(const TrialChanges &Changes) {
-    for (const TrialStatus &Status : Changes.m_Updated) {
-      VersionTrial *Trial = m_State.trialOf(Status.m_Service);
-      m_StatusRowVersions[Status.m_Service] = Status.m_RowVersion;
-      // A status older than the order belongs to an earlier rollout.
-      if (!Trial || Status.m_TargetVersion != Trial->order().m_TargetVersion ||
-          Status.m_RowVersion < Trial->order().m_OrderVersion)
-        continue;
-      m_TrialsWithStatus.insert(Status.m_Service);
-      if (Trial->state() == Status.m_State)
-        continue;
-      Trial->setState(Status.m_State);
-      m_Log.add(LogClass::State, "rollout_decided",
-                {{"service", std::string_view(Status.m_Service.value())},
-                 {"to", std::string_view(Status.m_TargetVersion.value())},
-                 {"state", nameOf(Status.m_State)}});
-    }
-    if (!Changes.m_FullSnapshot || m_TrialSnapshotNeeded)
-      return;
-    for (auto &Entry : m_State.m_Trials)
-      Entry.second.confirmDecisionsRead();
-  }
-
-  void apply(const EvidenceChanges &Changes) {
-    for (const TrialEvidence &Evidence : Changes.m_Updated) {
-      VersionTrial *Trial = m_State.trialOf(Evidence.m_Service);
-      if (Trial && Evidence.m_OrderVersion == Trial->order().m_OrderVersion &&
-          Evidence.m_Daemon != m_State.m_PlacementContext.m_Instance)
-        Trial->onPeerEvidence(Evidence.m_Daemon, Evidence.m_Routes, m_Clock());
-    }
-  }
-
   void apply(const PromptEvidenceChanges &Changes) {
+    m_CrashesRead = true;
     if (Changes.m_FullSnapshot)
-      m_State.m_PromptQuarantine.forgetOthers();
-    m_State.m_PromptQuarantine.onEvidence(Changes.m_Updated, m_Clock());
+      m_State.m_PromptQuarantine.onSnapshot(Changes.m_Updated, m_Clock());
+    else
+      m_State.m_PromptQuarantine.onEvidence(Changes.m_Updated, m_Clock());
   }
 
   static asio::awaitable<void> readPromptEvidence(std::shared_ptr<Impl> Self) {
     const Expected<PromptEvidenceChanges> Read = co_await Self->m_Store.readPromptEvidence();
     Self->logFailure("crashes_not_read", Read);
-    if (Read)
+    if (Read && !Self->m_State.m_StoreEras.isStale(Read->m_Era))
       Self->apply(*Read);
   }
 
-  bool needsEvidence() const {
-    return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(), [this](const auto &Entry) {
-      return Entry.second.state() == TrialState::Running && Entry.second.hasResponses() &&
-             trialRole(Entry.first, m_State.m_PlacementContext).m_Decides;
-    });
-  }
-
-  bool anyTrialRuns() const {
-    return std::any_of(m_State.m_Trials.begin(), m_State.m_Trials.end(),
-                       [](const auto &Entry) { return Entry.second.state() == TrialState::Running; });
-  }
-
   void onTick() {
     m_State.m_Pool.expire(m_Clock());
+    if (!m_DomainsOut.expire(m_Clock()).empty())
+      applyDomainsOut();
     m_Log.flush();
-    for (auto &Entry : m_State.m_Trials) {
-      writeTrialStatusIfDue(Entry.first, Entry.second);
-      publishEvidence(Entry.first, Entry.second);
-    }
+    m_Rollouts->onTick();
     m_State.m_PromptQuarantine.update(
         [this](const UpstreamIncarnation &Upstream, TimePoint After) {
           return m_State.m_Pool.survived(Upstream.m_Id, Upstream.m_StartedAt, After);
@@ -537,75 +590,6 @@
                      {"outcome", std::string_view(Outcome)}});
   }
 
-  void writeTrialStatusIfDue(const ServiceId &Service, const VersionTrial &Trial) {
-    if (Trial.state() != TrialState::Running || m_TrialSnapshotNeeded || m_TrialWriteInProgress)
-      return;
-    const TimePoint Now = m_Clock();
-    const TrialState Verdict = Trial.verdict(Now);
-    if (Verdict == TrialState::Running && m_TrialsWithStatus.count(Service) > 0) {
-      m_TrialWriteDueSince.erase(Service);
-      return;
-    }
-    const TimePoint DueSince = m_TrialWriteDueSince.emplace(Service, Now).first->second;
-    const bool Urgent = Verdict == TrialState::RolledBack && Trial.hasRollbackEvidence();
-    if (!Urgent &&
-        Now - DueSince < TrialWriteStagger * daemonRank(Service.value(), m_State.m_PlacementContext))
-      return;
-    if (Now < m_NextTrialWriteAt)
-      return;
-    m_TrialWriteInProgress = true;
-    spawn(m_Context, writeTrialStatus(shared_from_this(),
-                                      TrialStatus{Service, Trial.order().m_TargetVersion, Verdict,
-                                                  m_StatusRowVersions[Service]},
-                                      Trial.evidence()));
-  }
-
-  void publishEvidence(const ServiceId &Service, VersionTrial &Trial) {
-    const TimePoint Now = m_Clock();
-    if (Trial.state() != TrialState::Running || Now < m_NextEvidenceAt)
-      return;
-    std::optional<std::vector<RouteEvidence>> Routes = Trial.takeUnpublishedEvidence(Now);
-    if (!Routes)
-      return;
-    m_NextEvidenceAt = Now + EvidencePublishInterval;
-    TrialEvidence Evidence{Service, Trial.order().m_TargetVersion, Trial.order().m_OrderVersion,
-                           m_State.m_PlacementContext.m_Instance, std::move(*Routes)};
-    spawn(m_Context, writeEvidence(shared_from_this(), std::move(Evidence),
-                                   trialRole(Service, m_State.m_PlacementContext).m_Rank));
-  }
-
-  static asio::awaitable<void> writeEvidence(std::shared_ptr<Impl> Self, TrialEvidence Evidence,
-                                             std::uint32_t Rank) {
-    const Expected<Done> Written = co_await Self->m_Store.writeEvidence(Evidence, Rank);
-    const std::string Outcome = outcomeText(Written, "written");
-    for (const RouteEvidence &Route : Evidence.m_Routes)
-      Self->m_Log.add(LogClass::State, "rollout_evidence",
-                      {{"service", std::string_view(Evidence.m_Service.value())},
-                       {"route", std::string_view(Route.m_Route)},
-                       {"evidence", Route.m_Evidence},
-                       {"answers", static_cast<std::int64_t>(Route.m_Responses)},
-                       {"bad", static_cast<std::int64_t>(Route.m_Bad)},
-                       {"outcome", std::string_view(Outcome)}});
-  }
-
-  static asio::awaitable<void> writeTrialStatus(std::shared_ptr<Impl> Self, TrialStatus Status,
-                                                double Evidence) {
-    Expected<Done> Written = co_await Self->m_Store.writeTrial(Status);
-    Self->m_TrialWriteInProgress = false;
-    Self->m_NextTrialWriteAt = Self->m_Clock() + TrialWriteRetryInterval;
-    const std::string Outcome = outcomeText(Written, "written");
-    Self->m_Log.add(LogClass::State, "rollout_state_write",
-                    {{"service", std::string_view(Status.m_Service.value())},
-                     {"state", nameOf(Status.m_State)},
-                     {"evidence", Evidence},
-                     {"outcome", std::string_view(Outcome)}});
-    VersionTrial *Trial = Self->m_State.trialOf(Status.m_Service);
-    if (Written && Trial && Trial->order().m_TargetVersion == Status.m_TargetVersion) {
-      Trial->setState(Status.m_State);
-      Self->m_TrialsWithStatus.insert(Status.m_Service);
-    }
-  }
-
   asio::io_context &m_Context;
   ControlStore &m_Store;
   GatewayState &m_State;
@@ -613,24 +597,22 @@
   ClockHook m_Clock;
   RandomHook m_Random;
   ConfigHook m_OnConfig;
+  std::shared_ptr<RolloutCoordinator> m_Rollouts;
   Ticker m_Ticker;
   bool m_Stopped = false;
   OrderPacer m_OrderPacer;
   OrderCall m_OrderCall = OrderCall::Read; ///< The latest call for the orders.
   TimePoint m_OrderCallSentAt{};
+  std::map<std::string_view, std::function<void()>> m_OpenPolls; ///< Ends the wait for a long poll, by table.
   std::optional<TimePoint> m_RegistryRecoveredAt;
-  /// Read all rollout statuses again. Set by a new order, as its status may have been read and ignored before
-  /// the order was known.
-  bool m_TrialSnapshotNeeded = true;
-  bool m_TrialWriteInProgress = false;
-  TimePoint m_NextTrialWriteAt{};
-  TimePoint m_NextEvidenceAt{};
+  OutOfServiceDomains m_DomainsOut;
+  DaemonMembership m_Membership;
+  std::optional<StoreEra> m_DaemonsEra; ///< Era in which the list of daemons was last read.
+  std::optional<TimePoint> m_HeartbeatSentAt;
+  bool m_CrashesRead = false; ///< Whether the evidence on crashes has been read.
   bool m_CrashWriteInProgress = false;
   TimePoint m_NextCrashWriteAt{};
   std::set<PromptPartId> m_LoggedQuarantine;
-  std::set<ServiceId> m_TrialsWithStatus; ///< Services whose current rollout has a status in the store.
-  std::map<ServiceId, TimePoint> m_TrialWriteDueSince;
-  std::map<ServiceId, std::uint64_t> m_StatusRowVersions;
 };
 
 ControlService::ControlService(asio::io_context &Context, ControlStore &Store, GatewayState &State,
