--- a/packages/forward/include/bulrushpitch/forward/objects.h
+++ b/packages/forward/include/bulrushpitch/forward/objects.h
@@ -6,7 +6,6 @@
 
 #include "bulrushpitch/core/clock.h"
 #include "bulrushpitch/core/ids.h"
-#include "bulrushpitch/forward/store_era.h"
 #include "bulrushpitch/net/http_message.h"
 
 #include <chrono>
@@ -113,7 +112,6 @@
   VersionId m_TargetVersion;
   TrialState m_State = TrialState::Running;
   std::uint64_t m_RowVersion = 0; ///< Expected row version of the next conditional write; 0: no row.
-  StoreEra m_Era{};               ///< Era in which the row version was read.
 };
 
 /// @brief One daemon's observations of a new version, on one route or on all routes together.
