Observability: bytes read from the store, and daemons that know that they are late

The logs could not tell a link full of repeated reads from slow decoding: they had neither the bytes that a daemon reads from the store nor a line of a daemon whose orders are not confirmed. New: the gauge bulrushpitch_store_received_bytes, and the log lines orders_late and orders_current. No decision changes.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -85,8 +85,9 @@
         .set(static_cast<double>(Counters.m_Reads + Counters.m_Writes));
     m_Metrics.gauge("bulrushpitch_store_failures_count", "Calls to the store that failed or were refused.")
         .set(static_cast<double>(Counters.m_Failures));
-    m_Metrics
-        .gauge("bulrushpitch_orders_age_seconds", "Time since the store last answered a call for the orders.")
+    m_Metrics.gauge("bulrushpitch_store_received_bytes", "Bytes received from the store since the start.")
+        .set(static_cast<double>(Counters.m_BytesReceived));
+    m_Metrics.gauge("bulrushpitch_orders_age_seconds", "Time since the store last confirmed the orders.")
         .set(std::chrono::duration<double>(m_State.ordersAge(m_Clock())).count());
     m_Metrics.gauge("bulrushpitch_store_restores_count", "Restores of the store noticed since the start.")
         .set(static_cast<double>(m_State.m_StoreEras.restores()));
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -49,8 +49,8 @@
   }
   /// @return maximum share of a service's requests that may reach a bad version during its rollout
   double trialExposure() const { return m_Bounds.m_TrialExposure; }
-  /// @return time since the store last answered a call for the operators' orders; zero before the first
-  /// answer
+  /// @return time since the store last confirmed the operators' orders as known here; zero before the first
+  /// time
   Duration ordersAge(TimePoint Now) const {
     return m_OrdersReadAt ? Now - *m_OrdersReadAt : Duration::zero();
   }
@@ -59,7 +59,7 @@
   void setDaemons(std::vector<InstanceId> Daemons);
 
   std::shared_ptr<const ConfigIndex> m_ConfigIndex; ///< Null until a configuration has been read.
-  std::optional<TimePoint> m_OrdersReadAt;          ///< When the store last answered a call for the orders.
+  std::optional<TimePoint> m_OrdersReadAt;          ///< When the store last confirmed the orders.
   bool m_RegistryRead = false;
   StoreEraTracker m_StoreEras;
   UpstreamPool m_Pool;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -45,6 +45,8 @@
 constexpr std::string_view DaemonCleanupKey = "lapsed daemons";
 /// Rank key of the order in which daemons clear parts of prompts.
 constexpr std::string_view PartClearanceKey = "part clearance";
+/// Orders of this age are logged as late: a configuration must be in force in about as long.
+constexpr Duration LateOrdersAge = milliseconds(4000);
 /// Interval of onTick(), and of the checks whether rollout statuses and evidence have to be watched.
 constexpr Duration TickInterval = milliseconds(200);
 /// Batches the evidence of several daemons into one call.
@@ -544,10 +546,25 @@
           return m_State.m_Pool.survived(Upstream.m_Id, Upstream.m_StartedAt, After);
         },
         m_Clock());
+    logOrdersAge();
     logQuarantineChanges();
     publishPromptEvidence();
   }
 
+  /// Logs when the orders become older than LateOrdersAge, and when they are confirmed again.
+  void logOrdersAge() {
+    const Duration Age = m_State.ordersAge(m_Clock());
+    const bool Late = Age >= LateOrdersAge;
+    if (std::exchange(m_OrdersLate, Late) == Late)
+      return;
+    const std::int64_t Revision =
+        m_State.m_ConfigIndex ? static_cast<std::int64_t>(m_State.m_ConfigIndex->config().m_Revision.value())
+                              : 0;
+    m_Log.add(
+        LogClass::State, Late ? "orders_late" : "orders_current",
+        {{"revision", Revision}, {"orders_age_ms", std::chrono::duration<double, std::milli>(Age).count()}});
+  }
+
   void logQuarantineChanges() {
     const std::map<PromptPartId, CrashBlame> &Quarantined = m_State.m_PromptQuarantine.quarantined();
     for (const auto &Entry : Quarantined)
@@ -609,6 +626,7 @@
   DaemonMembership m_Membership;
   std::optional<StoreEra> m_DaemonsEra; ///< Era in which the list of daemons was last read.
   std::optional<TimePoint> m_HeartbeatSentAt;
+  bool m_OrdersLate = false;  ///< Whether the log says that the orders are late.
   bool m_CrashesRead = false; ///< Whether the evidence on crashes has been read.
   bool m_CrashWriteInProgress = false;
   TimePoint m_NextCrashWriteAt{};
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -372,6 +372,24 @@
   CHECK(m_LogText.find("store_regained") != std::string::npos);
 }
 
+// Guards against a daemon that serves an old configuration without a trace in its log.
+TEST_CASE_FIXTURE(Fixture, "a daemon whose orders are not confirmed says so in its log, once") {
+  start();
+  m_Store.m_Unavailable = true;
+  runFor(milliseconds(100));
+  m_ClockAdvance = std::chrono::seconds(5);
+  runFor(milliseconds(700));
+  m_Log->flush();
+  const std::size_t Late = m_LogText.find("\"event\":\"orders_late\",\"revision\":5");
+  REQUIRE(Late != std::string::npos);
+  CHECK(m_LogText.find("orders_late", Late + 30) == std::string::npos);
+  CHECK(m_LogText.find("orders_current") == std::string::npos);
+  m_Store.m_Unavailable = false;
+  runFor(milliseconds(1500));
+  m_Log->flush();
+  CHECK(m_LogText.find("orders_current") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(Fixture, "the full snapshot is read again after the change history was lost") {
   start();
   const int ReadsBefore = m_Store.m_OrderReads;
