Clean-up: the list of daemons and the exchange of crash evidence leave control_service.cpp

DaemonList keeps and reads the list of daemons, PromptEvidenceExchange publishes and reads evidence on crashes; logFailure is one function.

--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -2,7 +2,8 @@
 
 #include "bulrushpitch/forward/out_of_service_domains.h"
 #include "bulrushpitch/gateway/order_pacer.h"
-#include "outcome_text.h"
+#include "daemon_list.h"
+#include "prompt_evidence_exchange.h"
 #include "rollout_coordinator.h"
 
 #include <algorithm>
@@ -31,7 +32,6 @@
 constexpr Duration CalmCrashWatchTimeout = milliseconds(15'000);
 /// While a crash is known.
 constexpr Duration CrashWatchTimeout = milliseconds(6000);
-constexpr Duration CrashPublishInterval = milliseconds(500);
 constexpr Duration MinBackoff = milliseconds(100);
 constexpr Duration MaxBackoff = milliseconds(800);
 /// Far above the timeout of any call.
@@ -39,12 +39,6 @@
 /// Registry entries that expired while the store was unavailable are written again within this time after its
 /// recovery.
 constexpr Duration EntryGracePeriod = milliseconds(2200);
-constexpr Duration DaemonListInterval = std::chrono::seconds(10);
-constexpr Duration HeartbeatInterval = std::chrono::seconds(30);
-/// Rank key that selects the daemon that removes the rows of expired daemons.
-constexpr std::string_view DaemonCleanupKey = "lapsed daemons";
-/// Rank key of the order in which daemons clear parts of prompts.
-constexpr std::string_view PartClearanceKey = "part clearance";
 /// Orders of this age are logged as late: a configuration must be in force in about as long.
 constexpr Duration LateOrdersAge = milliseconds(4000);
 /// Interval of onTick(), and of the checks whether rollout statuses and evidence have to be watched.
@@ -61,6 +55,8 @@
       : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)),
         m_Random(std::move(Random)), m_OnConfig(std::move(OnConfig)),
         m_Rollouts(std::make_shared<RolloutCoordinator>(Context, Store, State, Log, m_Clock)),
+        m_Daemons(std::make_shared<DaemonList>(Context, Store, State, Log, m_Clock, m_Random)),
+        m_PromptEvidence(std::make_shared<PromptEvidenceExchange>(Context, Store, State, Log, m_Clock)),
         m_Ticker(
             Context, [] { return TickInterval; }, [this] { onTick(); }) {}
 
@@ -74,12 +70,13 @@
     spawn(m_Context, follow(shared_from_this(), trialStatuses()));
     spawn(m_Context, follow(shared_from_this(), evidence()));
     spawn(m_Context, follow(shared_from_this(), promptEvidence()));
-    spawn(m_Context, followDaemons(shared_from_this()));
+    m_Daemons->start();
     m_Ticker.start();
   }
 
   void stop() {
     m_Stopped = true;
+    m_Daemons->stop();
     m_Ticker.stop();
   }
 
@@ -126,7 +123,7 @@
     Table.m_Apply = [this](Feed &Orders, const OrderChanges &Changes) {
       // A call of the slow watch on crashes may have been lost with the store.
       if (Orders.m_Unavailable)
-        spawn(m_Context, readPromptEvidence(shared_from_this()));
+        m_PromptEvidence->readAll();
       const bool ConfigChanged = apply(Changes);
       const TimePoint Now = m_Clock();
       m_State.m_OrdersReadAt = Now;
@@ -193,7 +190,9 @@
     Table.m_Feed = {"crashes", WatchInterval};
     Table.m_Read = &ControlStore::readPromptEvidence;
     Table.m_Watch = &ControlStore::watchPromptEvidence;
-    Table.m_Apply = [this](Feed &, const PromptEvidenceChanges &Changes) { apply(Changes); };
+    Table.m_Apply = [this](Feed &, const PromptEvidenceChanges &Changes) {
+      m_PromptEvidence->apply(Changes);
+    };
     Table.m_Prepare = [this](Feed &Crashes) {
       Crashes.m_WatchTimeout =
           m_State.m_PromptQuarantine.hasCrashes() ? CrashWatchTimeout : CalmCrashWatchTimeout;
@@ -285,9 +284,8 @@
                {"new_era", static_cast<std::int64_t>(Now.value())}});
     m_RegistryRecoveredAt = m_Clock();
     m_Rollouts->onStoreRestored();
-    if (m_CrashesRead)
-      m_State.m_PromptQuarantine.onStoreRestored(m_Clock());
-    spawn(m_Context, registerAgain(shared_from_this()));
+    m_PromptEvidence->onStoreRestored();
+    m_Daemons->onStoreRestored();
     for (const auto &Poll : m_OpenPolls)
       Poll.second();
   }
@@ -302,95 +300,6 @@
                    : CallResult{{}, &Outcome.error()};
   }
 
-  static asio::awaitable<void> followDaemons(std::shared_ptr<Impl> Self) {
-    while (!Self->m_Stopped) {
-      const bool HeartbeatDue =
-          !Self->m_HeartbeatSentAt || Self->m_Clock() - *Self->m_HeartbeatSentAt >= HeartbeatInterval;
-      if (HeartbeatDue)
-        co_await Self->sendHeartbeat();
-      co_await Self->readDaemons();
-      co_await sleepFor(Self->m_Context, Self->m_HeartbeatSentAt ? DaemonListInterval : MaxBackoff);
-    }
-  }
-
-  asio::awaitable<void> sendHeartbeat() {
-    const TimePoint Now = m_Clock();
-    const Expected<Done> Registered = co_await m_Store.registerDaemon(m_State.m_PlacementContext.m_Instance);
-    logFailure("heartbeat_failed", Registered);
-    if (Registered)
-      m_HeartbeatSentAt = Now;
-  }
-
-  asio::awaitable<void> readDaemons() {
-    const Expected<std::vector<ListedDaemon>> Listed = co_await m_Store.readDaemons();
-    logFailure("daemons_not_read", Listed);
-    if (!Listed || isOutdated(*Listed))
-      co_return;
-    const StoreEra Era = Listed->empty() ? m_State.m_StoreEras.current() : Listed->front().m_Era;
-    if (std::exchange(m_DaemonsEra, Era).value_or(Era) != Era)
-      m_Membership.updateAfterRestore(*Listed, m_Clock());
-    else
-      m_Membership.update(*Listed, m_Clock());
-    m_State.setDaemons(m_Membership.alive(m_Clock()));
-    co_await removeExpired(m_Membership.expired(m_Clock()));
-  }
-
-  /// After a restore of the store: this daemon's row may be lost, and the others' shares of the common limits
-  /// would grow.
-  static asio::awaitable<void> registerAgain(std::shared_ptr<Impl> Self) {
-    const std::uint64_t Restores = Self->m_State.m_StoreEras.restores();
-    Self->m_HeartbeatSentAt.reset();
-    co_await sleepFor(Self->m_Context, Self->randomPause());
-    while (!Self->m_Stopped && !Self->m_HeartbeatSentAt && Restores == Self->m_State.m_StoreEras.restores()) {
-      co_await Self->sendHeartbeat();
-      co_await sleepFor(Self->m_Context, MaxBackoff);
-    }
-    co_await Self->readDaemons();
-  }
-
-  /// Returns whether the list was read before a restore of the store.
-  bool isOutdated(const std::vector<ListedDaemon> &Listed) const {
-    return !Listed.empty() && m_State.m_StoreEras.isStale(Listed.front().m_Era);
-  }
-
-  /// Removes the rows of expired daemons, on one daemon only. Otherwise the list of daemons would grow
-  /// whenever daemons are replaced.
-  asio::awaitable<void> removeExpired(std::vector<ListedDaemon> Expired) {
-    if (daemonRank(DaemonCleanupKey, m_State.m_PlacementContext) != 0)
-      co_return;
-    for (const ListedDaemon &Daemon : Expired) {
-      // Its evidence on crashes outlives it; the rows are removed together.
-      if (m_State.m_PromptQuarantine.hasCrashesOf(Daemon.m_Id))
-        continue;
-      PromptEvidence Withdrawn;
-      Withdrawn.m_Daemon = Daemon.m_Id;
-      logFailure("crashes_not_removed", co_await m_Store.writePromptEvidence(std::move(Withdrawn)));
-      const Expected<Done> Removed = co_await removeDaemon(Daemon);
-      const std::string Outcome = outcomeText(Removed, "removed");
-      m_Log.add(LogClass::State, "daemon_lapsed",
-                {{"daemon", std::string_view(Daemon.m_Id.value())}, {"outcome", std::string_view(Outcome)}});
-    }
-  }
-
-  /// Error of a conditional write that is not sent: its row was read before a restore of the store.
-  static Error rowReplaced(std::string Step) {
-    return Error{ErrorCode::ConditionFailed, std::move(Step), "store", Ran::No,
-                 "the store was restored after the row was read"};
-  }
-
-  asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon Expired) {
-    if (m_State.m_StoreEras.isStale(Expired.m_Era))
-      co_return rowReplaced("remove daemon");
-    co_return co_await m_Store.removeDaemon(std::move(Expired));
-  }
-
-  template <typename Value> void logFailure(std::string_view Event, const Expected<Value> &Outcome) {
-    if (Outcome)
-      return;
-    const std::string Text = Outcome.error().toString();
-    m_Log.add(LogClass::State, Event, {{"error", std::string_view(Text)}});
-  }
-
   /// Waits before the next call, and logs when the store becomes unavailable or available again.
   asio::awaitable<void> waitBeforeNextCall(Feed &Table, CallResult Outcome) {
     const Error *Failure = Outcome.m_Failure;
@@ -520,35 +429,14 @@
     }
   }
 
-  void apply(const PromptEvidenceChanges &Changes) {
-    m_CrashesRead = true;
-    if (Changes.m_FullSnapshot)
-      m_State.m_PromptQuarantine.onSnapshot(Changes.m_Updated, m_Clock());
-    else
-      m_State.m_PromptQuarantine.onEvidence(Changes.m_Updated, m_Clock());
-  }
-
-  static asio::awaitable<void> readPromptEvidence(std::shared_ptr<Impl> Self) {
-    const Expected<PromptEvidenceChanges> Read = co_await Self->m_Store.readPromptEvidence();
-    Self->logFailure("crashes_not_read", Read);
-    if (Read && !Self->m_State.m_StoreEras.isStale(Read->m_Era))
-      Self->apply(*Read);
-  }
-
   void onTick() {
     m_State.m_Pool.expire(m_Clock());
     if (!m_DomainsOut.expire(m_Clock()).empty())
       applyDomainsOut();
     m_Log.flush();
     m_Rollouts->onTick();
-    m_State.m_PromptQuarantine.update(
-        [this](const UpstreamIncarnation &Upstream, TimePoint After) {
-          return m_State.m_Pool.survived(Upstream.m_Id, Upstream.m_StartedAt, After);
-        },
-        m_Clock());
+    m_PromptEvidence->onTick();
     logOrdersAge();
-    logQuarantineChanges();
-    publishPromptEvidence();
   }
 
   /// Logs when the orders become older than LateOrdersAge, and when they are confirmed again.
@@ -565,48 +453,6 @@
         {{"revision", Revision}, {"orders_age_ms", std::chrono::duration<double, std::milli>(Age).count()}});
   }
 
-  void logQuarantineChanges() {
-    const std::map<PromptPartId, CrashBlame> &Quarantined = m_State.m_PromptQuarantine.quarantined();
-    for (const auto &Entry : Quarantined)
-      if (m_LoggedQuarantine.insert(Entry.first).second)
-        m_Log.add(LogClass::State, "prompt_part_quarantined",
-                  {{"part", std::string_view(Entry.first.value())},
-                   {"crashes", static_cast<std::int64_t>(Entry.second.m_Crashes)},
-                   {"age_ms",
-                    std::chrono::duration<double, std::milli>(m_Clock() - Entry.second.m_LastAt).count()}});
-    std::erase_if(m_LoggedQuarantine, [&](const PromptPartId &Part) {
-      if (Quarantined.count(Part) > 0)
-        return false;
-      m_Log.add(LogClass::State, "prompt_part_released", {{"part", std::string_view(Part.value())}});
-      return true;
-    });
-  }
-
-  void publishPromptEvidence() {
-    const TimePoint Now = m_Clock();
-    if (m_CrashWriteInProgress || Now < m_NextCrashWriteAt)
-      return;
-    std::optional<PromptEvidence> Evidence = m_State.m_PromptQuarantine.takeUnpublished(
-        Now, daemonRank(PartClearanceKey, m_State.m_PlacementContext));
-    if (!Evidence)
-      return;
-    m_CrashWriteInProgress = true;
-    spawn(m_Context, writePromptEvidence(shared_from_this(), std::move(*Evidence)));
-  }
-
-  static asio::awaitable<void> writePromptEvidence(std::shared_ptr<Impl> Self, PromptEvidence Evidence) {
-    const Expected<Done> Written = co_await Self->m_Store.writePromptEvidence(Evidence);
-    Self->m_CrashWriteInProgress = false;
-    Self->m_NextCrashWriteAt = Self->m_Clock() + CrashPublishInterval;
-    if (!Written)
-      Self->m_State.m_PromptQuarantine.onPublicationFailed();
-    const std::string Outcome = outcomeText(Written, "written");
-    Self->m_Log.add(LogClass::State, "crash_evidence",
-                    {{"crashes", static_cast<std::int64_t>(Evidence.m_Crashes.size())},
-                     {"sound", static_cast<std::int64_t>(Evidence.m_Sound.size())},
-                     {"outcome", std::string_view(Outcome)}});
-  }
-
   asio::io_context &m_Context;
   ControlStore &m_Store;
   GatewayState &m_State;
@@ -615,6 +461,8 @@
   RandomHook m_Random;
   ConfigHook m_OnConfig;
   std::shared_ptr<RolloutCoordinator> m_Rollouts;
+  std::shared_ptr<DaemonList> m_Daemons;
+  std::shared_ptr<PromptEvidenceExchange> m_PromptEvidence;
   Ticker m_Ticker;
   bool m_Stopped = false;
   OrderPacer m_OrderPacer;
@@ -623,14 +471,7 @@
   std::map<std::string_view, std::function<void()>> m_OpenPolls; ///< Ends the wait for a long poll, by table.
   std::optional<TimePoint> m_RegistryRecoveredAt;
   OutOfServiceDomains m_DomainsOut;
-  DaemonMembership m_Membership;
-  std::optional<StoreEra> m_DaemonsEra; ///< Era in which the list of daemons was last read.
-  std::optional<TimePoint> m_HeartbeatSentAt;
-  bool m_OrdersLate = false;  ///< Whether the log says that the orders are late.
-  bool m_CrashesRead = false; ///< Whether the evidence on crashes has been read.
-  bool m_CrashWriteInProgress = false;
-  TimePoint m_NextCrashWriteAt{};
-  std::set<PromptPartId> m_LoggedQuarantine;
+  bool m_OrdersLate = false; ///< Whether the log says that the orders are late.
 };
 
 ControlService::ControlService(asio::io_context &Context, ControlStore &Store, GatewayState &State,
--- /dev/null
+++ b/packages/gateway/src/daemon_list.cpp
@@ -0,0 +1,106 @@
+#include "daemon_list.h"
+
+#include "outcome_log.h"
+
+#include <utility>
+
+namespace bulrushpitch {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr Duration ListInterval = std::chrono::seconds(10);
+constexpr Duration HeartbeatInterval = std::chrono::seconds(30);
+/// After a heartbeat that failed.
+constexpr Duration RetryInterval = milliseconds(800);
+/// Spreads the registrations of all daemons after a restore of the store.
+constexpr Duration MaxRegistrationPause = milliseconds(100);
+/// Rank key that selects the daemon that removes the rows of expired daemons.
+constexpr std::string_view CleanupKey = "lapsed daemons";
+
+} // namespace
+
+DaemonList::DaemonList(asio::io_context &Context, ControlStore &Store, GatewayState &State, EventLog &Log,
+                       ClockHook Clock, RandomHook Random)
+    : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)),
+      m_Random(std::move(Random)) {}
+
+void DaemonList::start() { spawn(m_Context, run(shared_from_this())); }
+
+void DaemonList::onStoreRestored() { spawn(m_Context, registerAgain(shared_from_this())); }
+
+asio::awaitable<void> DaemonList::run(std::shared_ptr<DaemonList> Self) {
+  while (!Self->m_Stopped) {
+    const bool HeartbeatDue =
+        !Self->m_HeartbeatSentAt || Self->m_Clock() - *Self->m_HeartbeatSentAt >= HeartbeatInterval;
+    if (HeartbeatDue)
+      co_await Self->sendHeartbeat();
+    co_await Self->readList();
+    co_await sleepFor(Self->m_Context, Self->m_HeartbeatSentAt ? ListInterval : RetryInterval);
+  }
+}
+
+asio::awaitable<void> DaemonList::sendHeartbeat() {
+  const TimePoint Now = m_Clock();
+  const Expected<Done> Registered = co_await m_Store.registerDaemon(m_State.m_PlacementContext.m_Instance);
+  logFailure(m_Log, "heartbeat_failed", Registered);
+  if (Registered)
+    m_HeartbeatSentAt = Now;
+}
+
+asio::awaitable<void> DaemonList::readList() {
+  const Expected<std::vector<ListedDaemon>> Listed = co_await m_Store.readDaemons();
+  logFailure(m_Log, "daemons_not_read", Listed);
+  if (!Listed || isOutdated(*Listed))
+    co_return;
+  const StoreEra Era = Listed->empty() ? m_State.m_StoreEras.current() : Listed->front().m_Era;
+  if (std::exchange(m_ListEra, Era).value_or(Era) != Era)
+    m_Membership.updateAfterRestore(*Listed, m_Clock());
+  else
+    m_Membership.update(*Listed, m_Clock());
+  m_State.setDaemons(m_Membership.alive(m_Clock()));
+  co_await removeExpired(m_Membership.expired(m_Clock()));
+}
+
+asio::awaitable<void> DaemonList::registerAgain(std::shared_ptr<DaemonList> Self) {
+  const std::uint64_t Restores = Self->m_State.m_StoreEras.restores();
+  Self->m_HeartbeatSentAt.reset();
+  co_await sleepFor(Self->m_Context, Duration(Self->m_Random() % MaxRegistrationPause.count()));
+  while (!Self->m_Stopped && !Self->m_HeartbeatSentAt && Restores == Self->m_State.m_StoreEras.restores()) {
+    co_await Self->sendHeartbeat();
+    co_await sleepFor(Self->m_Context, RetryInterval);
+  }
+  co_await Self->readList();
+}
+
+bool DaemonList::isOutdated(const std::vector<ListedDaemon> &Listed) const {
+  return !Listed.empty() && m_State.m_StoreEras.isStale(Listed.front().m_Era);
+}
+
+asio::awaitable<void> DaemonList::removeExpired(std::vector<ListedDaemon> Expired) {
+  if (daemonRank(CleanupKey, m_State.m_PlacementContext) != 0)
+    co_return;
+  for (const ListedDaemon &Daemon : Expired) {
+    // Its evidence on crashes outlives it; the rows are removed together.
+    if (m_State.m_PromptQuarantine.hasCrashesOf(Daemon.m_Id))
+      continue;
+    PromptEvidence Withdrawn;
+    Withdrawn.m_Daemon = Daemon.m_Id;
+    logFailure(m_Log, "crashes_not_removed", co_await m_Store.writePromptEvidence(std::move(Withdrawn)));
+    const Expected<Done> Removed = co_await remove(Daemon);
+    const std::string Outcome = outcomeText(Removed, "removed");
+    m_Log.add(LogClass::State, "daemon_lapsed",
+              {{"daemon", std::string_view(Daemon.m_Id.value())}, {"outcome", std::string_view(Outcome)}});
+  }
+}
+
+asio::awaitable<Expected<Done>> DaemonList::remove(ListedDaemon Expired) {
+  if (m_State.m_StoreEras.isStale(Expired.m_Era))
+    co_return Error{ErrorCode::ConditionFailed, "remove daemon", "store", Ran::No,
+                    "the store was restored after the row was read"};
+  co_return co_await m_Store.removeDaemon(std::move(Expired));
+}
+
+} // namespace bulrushpitch
--- /dev/null
+++ b/packages/gateway/src/daemon_list.h
@@ -0,0 +1,59 @@
+#ifndef BULRUSHPITCH_GATEWAY_SRC_DAEMON_LIST_H
+#define BULRUSHPITCH_GATEWAY_SRC_DAEMON_LIST_H
+
+#include "bulrushpitch/forward/daemon_membership.h"
+#include "bulrushpitch/gateway/event_log.h"
+#include "bulrushpitch/gateway/gateway_state.h"
+#include "bulrushpitch/gateway/ports.h"
+#include "bulrushpitch/net/async.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace bulrushpitch {
+
+/// @brief Keeps this daemon in the list of daemons by heartbeats, reads the list, and removes daemons whose
+/// heartbeats have expired.
+///
+/// Not thread-safe; used from one event loop. Must be owned by a shared_ptr, which its store calls extend.
+class DaemonList : public std::enable_shared_from_this<DaemonList> {
+public:
+  DaemonList(boost::asio::io_context &Context, ControlStore &Store, GatewayState &State, EventLog &Log,
+             ClockHook Clock, RandomHook Random);
+
+  void start();
+  void stop() { m_Stopped = true; }
+  /// @brief Called when the store has come back from an older copy: registers again, as the row may be lost
+  /// and the others' shares of the common limits would grow.
+  void onStoreRestored();
+
+private:
+  static boost::asio::awaitable<void> run(std::shared_ptr<DaemonList> Self);
+  static boost::asio::awaitable<void> registerAgain(std::shared_ptr<DaemonList> Self);
+  boost::asio::awaitable<void> sendHeartbeat();
+  boost::asio::awaitable<void> readList();
+  /// @return whether the list was read before a restore of the store
+  bool isOutdated(const std::vector<ListedDaemon> &Listed) const;
+  /// @brief Removes the rows of expired daemons, on one daemon only. Otherwise the list of daemons would grow
+  /// whenever daemons are replaced.
+  boost::asio::awaitable<void> removeExpired(std::vector<ListedDaemon> Expired);
+  boost::asio::awaitable<Expected<Done>> remove(ListedDaemon Expired);
+
+  boost::asio::io_context &m_Context;
+  ControlStore &m_Store;
+  GatewayState &m_State;
+  EventLog &m_Log;
+  ClockHook m_Clock;
+  RandomHook m_Random;
+  bool m_Stopped = false;
+  DaemonMembership m_Membership;
+  std::optional<StoreEra> m_ListEra; ///< Era in which the list was last read.
+  std::optional<TimePoint> m_HeartbeatSentAt;
+};
+
+} // namespace bulrushpitch
+
+#endif // BULRUSHPITCH_GATEWAY_SRC_DAEMON_LIST_H
--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -1,6 +1,6 @@
 #include "rollout_coordinator.h"
 
-#include "outcome_text.h"
+#include "outcome_log.h"
 
 #include <algorithm>
 #include <utility>
