--- a/packages/forward/include/bulrushpitch/forward/daemon_membership.h
+++ b/packages/forward/include/bulrushpitch/forward/daemon_membership.h
@@ -4,6 +4,7 @@
 #include "bulrushpitch/core/clock.h"
 #include "bulrushpitch/core/ids.h"
 #include "bulrushpitch/forward/store_era.h"
+#include "bulrushpitch/net/http_message.h"
 
 #include <cstdint>
 #include <map>
@@ -12,11 +13,21 @@
 
 namespace bulrushpitch {
 
+/// @brief What a daemon says of itself to those that may follow it.
+struct DaemonContact {
+  Endpoint m_Address; ///< Where it answers other daemons.
+  RegionId m_Region;
+  bool m_NearStore = false; ///< Its calls of the store are quick: they cross no link between regions.
+  bool m_WideLink = false;  ///< Its own link carries the traffic of many followers.
+  bool operator==(const DaemonContact &) const = default;
+};
+
 /// @brief Row of one daemon in the store.
 struct ListedDaemon {
   InstanceId m_Id;
-  std::uint64_t m_RowVersion = 0; ///< Increases with each heartbeat.
-  StoreEra m_Era{};               ///< Era in which the row was read.
+  std::uint64_t m_RowVersion = 0;           ///< Increases with each heartbeat.
+  StoreEra m_Era{};                         ///< Era in which the row was read.
+  std::optional<DaemonContact> m_Contact{}; ///< Empty if the daemon answers no others.
 };
 
 /// @brief Tracks which of the listed daemons are alive, by their heartbeats.
@@ -38,6 +49,8 @@
   void updateAfterRestore(const std::vector<ListedDaemon> &Listed, TimePoint Now);
   /// @return the daemons that are alive, ordered by id
   std::vector<InstanceId> alive(TimePoint Now) const;
+  /// @return the rows of the daemons that are alive, ordered by id
+  std::vector<ListedDaemon> aliveRows(TimePoint Now) const;
   /// @return the listed daemons without a heartbeat within the timeout, whose rows can be removed
   std::vector<ListedDaemon> expired(TimePoint Now) const;
 
@@ -47,6 +60,7 @@
     std::optional<std::uint64_t> m_RowVersion;
     StoreEra m_Era{};
     TimePoint m_SeenAt{}; ///< When the row version was first read.
+    std::optional<DaemonContact> m_Contact{};
   };
 
   static bool isAlive(const Heartbeat &Latest, TimePoint Now);
--- a/packages/forward/include/bulrushpitch/forward/objects.h
+++ b/packages/forward/include/bulrushpitch/forward/objects.h
@@ -29,6 +29,7 @@
 struct ServiceShare {
   ServiceId m_Service;
   double m_Weight = 1.0;
+  bool operator==(const ServiceShare &) const = default;
 };
 
 /// @brief Routing rule for the requests of one host and path prefix.
@@ -47,6 +48,7 @@
   std::vector<ServiceShare> m_Services;
   std::vector<ModelId> m_Models;   ///< Smallest first; empty if the caller names the model.
   std::vector<RegionId> m_Regions; ///< Regions that may serve it; empty: all.
+  bool operator==(const ForwardRoute &) const = default;
 };
 
 /// @brief A group of callers with common API keys.
@@ -55,6 +57,7 @@
   std::vector<std::string> m_Keys;
   std::optional<int> m_Priority;   ///< Overrides the route's priority.
   std::vector<RegionId> m_Regions; ///< Regions that may serve its requests; empty: all.
+  bool operator==(const ForwardTeam &) const = default;
 };
 
 /// @brief A group of equivalent upstreams.
@@ -62,6 +65,7 @@
   ServiceId m_Id;
   double m_ColdRequestsPerSecond = 0.0;   ///< Requests per second that a cold upstream accepts; 0: no limit.
   std::map<ModelId, double> m_ModelCosts; ///< Cost per 1,000 tokens.
+  bool operator==(const ForwardService &) const = default;
 };
 
 /// @brief Limits on callers' requests and connections.
@@ -70,6 +74,7 @@
   std::size_t m_MaxBodyBytes = 4 * 1024 * 1024;
   std::chrono::milliseconds m_HeaderTimeout{5'000};
   std::chrono::milliseconds m_IdleTimeout{60'000};
+  bool operator==(const CallerLimits &) const = default;
 };
 
 /// @brief One complete revision of the operators' configuration.
@@ -79,6 +84,7 @@
   std::vector<ForwardTeam> m_Teams; ///< Empty: no API keys are required.
   std::vector<ForwardService> m_Services;
   CallerLimits m_Limits;
+  bool operator==(const ForwardConfig &) const = default;
 };
 
 /// @brief Registry entry of one upstream.
@@ -104,6 +110,7 @@
   Duration m_TimeLimit{};
   /// Row version of the order; distinguishes orders with the same target version.
   std::uint64_t m_OrderVersion = 0;
+  bool operator==(const TrialOrder &) const = default;
 };
 
 /// @brief The daemons' common decision on a version trial.
