--- a/packages/rpc/include/bulrushpitch/rpc/messages.h
+++ b/packages/rpc/include/bulrushpitch/rpc/messages.h
@@ -28,9 +28,10 @@
   DropCharges,
   Probe,
   Timeline,
-  Status
+  Status,
+  WatchOrders
 };
-inline constexpr std::size_t peerMethodCount = 10;
+inline constexpr std::size_t peerMethodCount = 11;
 
 /// @param Value a call of the Peer interface
 /// @return its name in lower camel case, for example "acquirePermit"
@@ -166,6 +167,26 @@
   friend bool operator==(const PeerStatus &, const PeerStatus &) = default;
 };
 
+/// @brief Waits for operators' orders that the caller does not have.
+struct PeerOrderWatch {
+  std::uint64_t m_Era = 0;           ///< Of the store, in which the caller's orders were read.
+  std::uint64_t m_Version = 0;       ///< Of the store, at which the caller's orders were read.
+  ConfigRevision m_Revision{};       ///< Of the caller's configuration; 0 if it has none.
+  std::chrono::milliseconds m_Age{}; ///< Since the caller's orders were last confirmed.
+  /// How long the answer may be held back while there is nothing new.
+  std::chrono::milliseconds m_Wait{};
+  friend bool operator==(const PeerOrderWatch &, const PeerOrderWatch &) = default;
+};
+
+/// @brief The operators' orders as one daemon knows them.
+struct PeerOrders {
+  std::uint64_t m_Era = 0;
+  std::uint64_t m_Version = 0;
+  std::chrono::milliseconds m_Age{}; ///< Since they were last confirmed by the store.
+  std::string m_Bytes{};             ///< Empty if the caller has them already.
+  friend bool operator==(const PeerOrders &, const PeerOrders &) = default;
+};
+
 } // namespace bulrushpitch
 
 #endif // BULRUSHPITCH_RPC_MESSAGES_H
--- a/packages/rpc/include/bulrushpitch/rpc/rpc.h
+++ b/packages/rpc/include/bulrushpitch/rpc/rpc.h
@@ -6,6 +6,7 @@
 
 #include "bulrushpitch/rpc/counters.h"    // IWYU pragma: export
 #include "bulrushpitch/rpc/messages.h"    // IWYU pragma: export
+#include "bulrushpitch/rpc/order_codec.h" // IWYU pragma: export
 #include "bulrushpitch/rpc/peer_client.h" // IWYU pragma: export
 #include "bulrushpitch/rpc/peer_server.h" // IWYU pragma: export
 
--- a/packages/rpc/schema/peer.capnp
+++ b/packages/rpc/schema/peer.capnp
@@ -166,6 +166,21 @@
   json @5 :Text;
 }
 
+struct OrderWatch {
+  era @0 :UInt64;
+  version @1 :UInt64;   # Of the orders that the caller has.
+  revision @2 :UInt64;  # Of the configuration that the caller has; 0 if none.
+  ageMs @3 :Int64;      # Since the caller's orders were last confirmed.
+  waitMs @4 :UInt32;    # How long the answer may be held back while there is nothing new.
+}
+
+struct Orders {
+  era @0 :UInt64;
+  version @1 :UInt64;
+  ageMs @2 :Int64;
+  bytes @3 :Data;       # Empty if the caller has them already.
+}
+
 struct Empty {}
 
 # A result carries either its value or a failure.
@@ -176,6 +191,7 @@
 struct ProbeResultResult { union { value @0 :ProbeResult; failure @1 :Failure; } }
 struct EventsResult { union { value @0 :Events; failure @1 :Failure; } }
 struct StatusResult { union { value @0 :Status; failure @1 :Failure; } }
+struct OrdersResult { union { value @0 :Orders; failure @1 :Failure; } }
 
 interface Peer {
   exchange @0 Digest -> DigestResult;
@@ -188,4 +204,5 @@
   probe @7 Probe -> ProbeResultResult;
   timeline @8 Filter -> EventsResult;
   status @9 Empty -> StatusResult;
+  watchOrders @10 OrderWatch -> OrdersResult;
 }
--- a/packages/rpc/src/conversion.cpp
+++ b/packages/rpc/src/conversion.cpp
@@ -424,4 +424,36 @@
   To.m_Json = string(From.getJson());
 }
 
+void toWire(const PeerOrderWatch &From, schema::OrderWatch::Builder To) {
+  To.setEra(From.m_Era);
+  To.setVersion(From.m_Version);
+  To.setRevision(From.m_Revision.value());
+  To.setAgeMs(From.m_Age.count());
+  To.setWaitMs(number32(static_cast<std::uint64_t>(From.m_Wait.count()), "wait"));
+}
+
+void fromWire(schema::OrderWatch::Reader From, PeerOrderWatch &To) {
+  To.m_Era = From.getEra();
+  To.m_Version = From.getVersion();
+  To.m_Revision = ConfigRevision(From.getRevision());
+  To.m_Age = std::chrono::milliseconds(From.getAgeMs());
+  To.m_Wait = std::chrono::milliseconds(From.getWaitMs());
+}
+
+void toWire(const PeerOrders &From, schema::Orders::Builder To) {
+  To.setEra(From.m_Era);
+  To.setVersion(From.m_Version);
+  To.setAgeMs(From.m_Age.count());
+  if (!From.m_Bytes.empty())
+    To.setBytes(data(From.m_Bytes));
+}
+
+void fromWire(schema::Orders::Reader From, PeerOrders &To) {
+  To.m_Era = From.getEra();
+  To.m_Version = From.getVersion();
+  To.m_Age = std::chrono::milliseconds(From.getAgeMs());
+  const capnp::Data::Reader Bytes = From.getBytes();
+  To.m_Bytes.assign(reinterpret_cast<const char *>(Bytes.begin()), Bytes.size());
+}
+
 } // namespace bulrushpitch::detail
--- a/packages/rpc/src/peer_client.cpp
+++ b/packages/rpc/src/peer_client.cpp
@@ -414,6 +414,13 @@
                                       [](schema::Peer::Client &To) { return To.statusRequest(); });
 }
 
+boost::asio::awaitable<Expected<PeerOrders>> PeerClient::watchOrders(Endpoint Peer, PeerOrderWatch Held,
+                                                                     Duration Timeout) {
+  return Impl::call<PeerOrderWatch, PeerOrders>(
+      m_Impl, PeerMethod::WatchOrders, std::move(Peer), std::move(Held), Timeout,
+      [](schema::Peer::Client &To) { return To.watchOrdersRequest(); });
+}
+
 void PeerClient::closeAll() { m_Impl->closeAll(); }
 PeerCounters PeerClient::counters() const { return m_Impl->counters(); }
 
--- a/packages/rpc/src/peer_server.cpp
+++ b/packages/rpc/src/peer_server.cpp
@@ -105,6 +105,9 @@
   kj::Promise<void> status(StatusContext Call) override {
     return answer(PeerMethod::Status, m_Shared->m_Handler.m_Status, Call);
   }
+  kj::Promise<void> watchOrders(WatchOrdersContext Call) override {
+    return answer(PeerMethod::WatchOrders, m_Shared->m_Handler.m_WatchOrders, Call);
+  }
 
 private:
   template <typename Request, typename Reply, typename Params, typename Results>
