--- a/packages/config/include/bulrushpitch/config/gateway_settings.h
+++ b/packages/config/include/bulrushpitch/config/gateway_settings.h
@@ -31,6 +31,7 @@
   SocketAddress m_Callers;
   SocketAddress m_Readiness; ///< Where the balancer asks whether this daemon is ready.
   std::optional<SocketAddress> m_Metrics;
+  std::optional<SocketAddress> m_Peers; ///< Where other daemons reach this one; none: it relays nothing.
   bool operator==(const GatewayListen &) const = default;
 };
 
@@ -43,6 +44,7 @@
   std::map<DomainId, RegionId> m_Domains; ///< The region of each failure domain.
   GatewayListen m_Listen;
   SocketAddress m_Store;
+  double m_LinkMbps = 1000.0; ///< Bandwidth of this machine's own link, Mbit/s.
   double m_GracePeriod = 8.0; ///< Seconds from SIGTERM until the process is killed.
   GatewayBounds m_Bounds;
   bool operator==(const GatewaySettings &) const = default;
--- a/packages/config/src/gateway_settings.cpp
+++ b/packages/config/src/gateway_settings.cpp
@@ -23,6 +23,7 @@
     Visit(requiredField("callers"), Object.m_Callers);
     Visit(requiredField("readiness"), Object.m_Readiness);
     Visit(optionalField("metrics"), Object.m_Metrics);
+    Visit(optionalField("peers"), Object.m_Peers);
   }
 };
 
@@ -35,6 +36,7 @@
     Visit(requiredField("domains"), Object.m_Domains);
     Visit(requiredField("listen"), Object.m_Listen);
     Visit(requiredField("store"), Object.m_Store);
+    Visit(between(optionalField("link_mbps"), 0.001, 1'000'000), Object.m_LinkMbps);
     Visit(between(optionalField("grace_period_seconds"), 0.1, 86'400), Object.m_GracePeriod);
     Visit(optionalField("bounds"), Object.m_Bounds);
   }
--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -5,6 +5,7 @@
 #include "bulrushpitch/gateway/control_service.h"
 #include "bulrushpitch/gateway/endpoint.h"
 #include "bulrushpitch/gateway/entry_service.h"
+#include "bulrushpitch/rpc/rpc.h"
 
 #include <algorithm>
 
@@ -22,6 +23,8 @@
 constexpr Duration KillMargin = milliseconds(500);
 constexpr Duration DrainCheckInterval = milliseconds(50);
 constexpr Duration SampleInterval = std::chrono::seconds(5);
+/// A link that carries a large configuration to some thirty daemons within a few hundred milliseconds.
+constexpr double MinRelayLinkMbps = 100.0;
 /// Limit on request log lines; further ones are counted and dropped.
 constexpr double MaxLogLinesPerSecond = 60.0;
 
@@ -40,10 +43,7 @@
     ForwarderDependencies Dependencies{m_State,   m_Translation, m_UpstreamClient, m_Log,
                                        m_Metrics, m_Clock,       m_Clock()};
     m_Services.add("entry", std::make_shared<EntryService>(Context, m_Settings, Dependencies));
-    m_Services.add("control",
-                   std::make_shared<ControlService>(
-                       Context, m_Store, m_State, m_Log, m_Clock, systemRandom(),
-                       [this](const ForwardConfig &Config) { entry().applyLimits(Config.m_Limits); }));
+    m_Services.add("control", std::make_shared<ControlService>(Context, controlDependencies()));
   }
 
   ~Impl() { m_Services.stop(); }
@@ -78,6 +78,45 @@
   EntryService &entry() {
     return **capture([&] { return m_Services.find<EntryService>("entry"); });
   }
+  ControlService &control() {
+    return **capture([&] { return m_Services.find<ControlService>("control"); });
+  }
+
+  ControlDependencies controlDependencies() {
+    return {m_Store,
+            m_State,
+            m_Log,
+            m_Clock,
+            systemRandom(),
+            [this](const ForwardConfig &Config) { entry().applyLimits(Config.m_Limits); },
+            [this](Endpoint Peer, PeerOrderWatch Held, Duration Timeout) {
+              return m_PeerClient.watchOrders(std::move(Peer), std::move(Held), Timeout);
+            },
+            listenForPeers()};
+  }
+
+  /// @return how other daemons reach this one; nothing if they can't
+  std::optional<DaemonContact> listenForPeers() {
+    if (!m_Settings.m_Listen.m_Peers)
+      return std::nullopt;
+    PeerHandler Handler;
+    Handler.m_WatchOrders = [this](PeerOrderWatch Held) {
+      return control().answerOrderWatch(std::move(Held));
+    };
+    m_PeerServer.emplace(m_Context, endpointOf(*m_Settings.m_Listen.m_Peers), std::move(Handler));
+    const Expected<Done> Started = capture([this]() -> Result<Done> {
+      BOOST_LEAF_CHECK(m_PeerServer->start());
+      return Done{};
+    });
+    if (!Started) {
+      // The daemon serves requests without it, and others are relayed to by their peers.
+      const std::string Text = Started.error().toString();
+      m_Log.add(LogClass::State, "peers_not_served", {{"error", std::string_view(Text)}});
+      return std::nullopt;
+    }
+    return DaemonContact{m_PeerServer->address(), m_Settings.m_Region, false,
+                         m_Settings.m_LinkMbps >= MinRelayLinkMbps};
+  }
 
   void sampleMetrics() {
     const PlatformCounters Counters = m_Store.counters();
@@ -142,6 +181,8 @@
   std::optional<TimePoint> m_DrainStarted;
   bool m_AcceptingEnded = false;
   int m_ExitCode = 1;
+  PeerClient m_PeerClient{m_Context};
+  std::optional<PeerServer> m_PeerServer;
   Kernel m_Services;
 };
 
--- a/packages/gateway/include/bulrushpitch/gateway/control_service.h
+++ b/packages/gateway/include/bulrushpitch/gateway/control_service.h
@@ -11,9 +11,26 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace bulrushpitch {
 
+/// @brief Dependencies of the control service.
+struct ControlDependencies {
+  /// Called after each configuration change.
+  using ConfigHook = std::function<void(const ForwardConfig &)>;
+
+  ControlStore &m_Store;
+  GatewayState &m_State;
+  EventLog &m_Log;
+  ClockHook m_Clock;
+  RandomHook m_Random;
+  ConfigHook m_OnConfig;
+  OrderWatchHook m_WatchOrders; ///< Asks another daemon. Empty: all orders come from the store.
+  /// How other daemons reach this one; nothing if they can't. m_NearStore is set by the service.
+  std::optional<DaemonContact> m_Contact;
+};
+
 /// @brief Synchronizes the gateway's state with the store: configuration, registry, rollouts, daemon
 /// membership.
 ///
@@ -22,16 +39,16 @@
 /// again.
 class ControlService : public Service {
 public:
-  /// Called after each configuration change.
-  using ConfigHook = std::function<void(const ForwardConfig &)>;
-
-  ControlService(boost::asio::io_context &Context, ControlStore &Store, GatewayState &State, EventLog &Log,
-                 ClockHook Clock, RandomHook Random, ConfigHook OnConfig);
+  ControlService(boost::asio::io_context &Context, ControlDependencies Dependencies);
   ~ControlService() override;
 
   Result<void> start() override;
   void stop() override;
 
+  /// @brief Answers a daemon that follows this one.
+  /// @return error 602 if no orders are known yet
+  boost::asio::awaitable<Expected<PeerOrders>> answerOrderWatch(PeerOrderWatch Held);
+
 private:
   class Impl;
   std::shared_ptr<Impl> m_Impl;
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -4,7 +4,7 @@
 /// @file
 /// @brief Interfaces to the platform that the gateway runs on: the names of header fields, and the store that
 /// holds configuration, registry, rollouts and daemon membership. An adapter implements both and makes no
-/// decisions.
+/// decisions. Beside them the call of another daemon.
 
 #include "bulrushpitch/core/expected.h"
 #include "bulrushpitch/forward/daemon_membership.h"
@@ -12,6 +12,7 @@
 #include "bulrushpitch/forward/prompt_quarantine.h"
 #include "bulrushpitch/forward/store_era.h"
 #include "bulrushpitch/net/http_message.h"
+#include "bulrushpitch/rpc/messages.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -125,6 +126,11 @@
   std::vector<PromptEvidence> m_Updated; ///< Empty evidence: the daemon has withdrawn it.
 };
 
+/// Asks another daemon for operators' orders that this one lacks.
+/// @param Timeout for the whole call; longer than Held.m_Wait
+using OrderWatchHook = std::function<boost::asio::awaitable<Expected<PeerOrders>>(
+    Endpoint Peer, PeerOrderWatch Held, Duration Timeout)>;
+
 /// @brief The store shared by all daemons.
 ///
 /// Calls fail with error codes 6xx. A watch is a long poll: it returns when something changes, or without
@@ -166,7 +172,11 @@
   /// @brief Replaces this daemon's published evidence on crashes; empty evidence withdraws it.
   virtual boost::asio::awaitable<Expected<Done>> writePromptEvidence(PromptEvidence Evidence) = 0;
   /// @brief Registers this daemon in the list of daemons, or sends its heartbeat if it is registered already.
-  virtual boost::asio::awaitable<Expected<Done>> registerDaemon(InstanceId Id) = 0;
+  /// @param Contact where it answers other daemons; nothing if it does not
+  virtual boost::asio::awaitable<Expected<Done>> registerDaemon(InstanceId Id,
+                                                                std::optional<DaemonContact> Contact) = 0;
+  /// @return the shortest time that a call other than a long poll has taken; nothing before the first one
+  virtual std::optional<Duration> shortestCall() const = 0;
   /// @brief Removes the row of a daemon whose heartbeats have expired.
   /// @return error 604 if the row has another version: the daemon is alive
   virtual boost::asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon Expired) = 0;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -3,6 +3,9 @@
 #include "bulrushpitch/forward/out_of_service_domains.h"
 #include "bulrushpitch/gateway/order_pacer.h"
 #include "daemon_list.h"
+#include "order_book.h"
+#include "order_follower.h"
+#include "order_relay.h"
 #include "prompt_evidence_exchange.h"
 #include "rollout_coordinator.h"
 
@@ -20,6 +23,13 @@
 
 /// Timeout of one long poll. A dead connection is detected after this time at the latest.
 constexpr Duration WatchTimeout = milliseconds(2500);
+/// Timeout of the long poll for orders where daemons relay them: its answers tell the followers that nothing
+/// has changed.
+constexpr Duration RelayedWatchTimeout = milliseconds(1000);
+/// After the start; by then the other daemons are known.
+constexpr Duration StartTime = milliseconds(4000);
+/// A call of the store that takes longer crosses a link between regions.
+constexpr Duration NearStoreCallTime = milliseconds(25);
 /// Pause between long polls, so that one call returns several changes: each call is charged.
 constexpr Duration WatchInterval = milliseconds(250);
 /// The registry changes often while many upstreams start or stop together. This is a third of the time within
@@ -50,22 +60,36 @@
 
 class ControlService::Impl : public std::enable_shared_from_this<ControlService::Impl> {
 public:
-  Impl(asio::io_context &Context, ControlStore &Store, GatewayState &State, EventLog &Log, ClockHook Clock,
-       RandomHook Random, ConfigHook OnConfig)
-      : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)),
-        m_Random(std::move(Random)), m_OnConfig(std::move(OnConfig)),
-        m_Rollouts(std::make_shared<RolloutCoordinator>(Context, Store, State, Log, m_Clock)),
-        m_Daemons(std::make_shared<DaemonList>(Context, Store, State, Log, m_Clock, m_Random)),
-        m_PromptEvidence(std::make_shared<PromptEvidenceExchange>(Context, Store, State, Log, m_Clock)),
+  Impl(asio::io_context &Context, ControlDependencies Dependencies)
+      : m_Context(Context), m_Store(Dependencies.m_Store), m_State(Dependencies.m_State),
+        m_Log(Dependencies.m_Log), m_Clock(std::move(Dependencies.m_Clock)),
+        m_Random(std::move(Dependencies.m_Random)), m_OnConfig(std::move(Dependencies.m_OnConfig)),
+        m_WatchOrders(std::move(Dependencies.m_WatchOrders)), m_Contact(std::move(Dependencies.m_Contact)),
+        m_Rollouts(std::make_shared<RolloutCoordinator>(Context, m_Store, m_State, m_Log, m_Clock)),
+        m_PromptEvidence(std::make_shared<PromptEvidenceExchange>(Context, m_Store, m_State, m_Log, m_Clock)),
         m_Ticker(
-            Context, [] { return TickInterval; }, [this] { onTick(); }) {}
+            Context, [] { return TickInterval; }, [this] { onTick(); }),
+        m_Relay(Context, m_OrderBook, m_Clock),
+        m_Sources(m_State.m_PlacementContext.m_Instance, m_State.m_PlacementContext.m_Region, m_Contact) {}
 
   void start() {
     m_Store.reportEras([Weak = weak_from_this()](StoreEra Era, std::string_view Table) {
       if (const std::shared_ptr<Impl> Self = Weak.lock())
         Self->observeEra(Era, Table);
     });
-    spawn(m_Context, follow(shared_from_this(), orders()));
+    m_StartedAt = m_Clock();
+    const std::weak_ptr<Impl> Weak = weak_from_this();
+    m_Daemons = std::make_shared<DaemonList>(
+        m_Context, m_Store, m_State, m_Log, m_Clock, m_Random,
+        [Weak] {
+          const std::shared_ptr<Impl> Self = Weak.lock();
+          return Self ? Self->describeContact() : std::nullopt;
+        },
+        [Weak](std::vector<ListedDaemon> Alive) {
+          if (const std::shared_ptr<Impl> Self = Weak.lock())
+            Self->onDaemonsListed(std::move(Alive));
+        });
+    m_Follower = makeFollower();
     spawn(m_Context, follow(shared_from_this(), upstreams()));
     spawn(m_Context, follow(shared_from_this(), trialStatuses()));
     spawn(m_Context, follow(shared_from_this(), evidence()));
@@ -76,10 +100,17 @@
 
   void stop() {
     m_Stopped = true;
-    m_Daemons->stop();
+    if (m_Daemons)
+      m_Daemons->stop();
+    if (m_Follower)
+      m_Follower->stop();
     m_Ticker.stop();
   }
 
+  asio::awaitable<Expected<PeerOrders>> answerOrderWatch(PeerOrderWatch Held) {
+    return m_Relay.answer(std::move(Held));
+  }
+
 private:
   /// State of the watch on one table of the store.
   struct Feed {
@@ -102,34 +133,151 @@
     std::function<asio::awaitable<Expected<Changes>>(ControlStore &, std::uint64_t Cursor, Duration Timeout)>
         m_Watch;
     /// May set the pause before the next call.
-    std::function<void(Feed &, const Changes &)> m_Apply;
+    std::function<void(Feed &, Changes &)> m_Apply;
     /// Called before each call of the store. Returns whether the table is needed now; may choose the call.
     std::function<bool(Feed &)> m_Prepare = [](Feed &) { return true; };
     /// Called after a call that failed.
     std::function<void(const Error &)> m_Failed = [](const Error &) {};
   };
 
+  /// @return what this daemon says of itself to those that may follow it
+  std::optional<DaemonContact> describeContact() {
+    std::optional<DaemonContact> Contact = m_Contact;
+    if (!Contact)
+      return std::nullopt;
+    const std::optional<Duration> ShortestCall = m_Store.shortestCall();
+    Contact->m_NearStore = ShortestCall && *ShortestCall < NearStoreCallTime;
+    m_Sources.setNearStore(Contact->m_NearStore);
+    return Contact;
+  }
+
+  void onDaemonsListed(std::vector<ListedDaemon> Alive) {
+    m_Sources.setDaemons(m_WatchOrders ? std::move(Alive) : std::vector<ListedDaemon>());
+    if (std::exchange(m_OrdersStarted, true))
+      return;
+    spawn(m_Context, follow(shared_from_this(), orders()));
+    m_Follower->start();
+  }
+
+  std::shared_ptr<OrderFollower> makeFollower() {
+    const std::weak_ptr<Impl> Weak = weak_from_this();
+    return std::make_shared<OrderFollower>(
+        m_Context, m_Sources, m_Log, m_Clock, m_WatchOrders,
+        [Weak] {
+          const std::shared_ptr<Impl> Self = Weak.lock();
+          return Self ? Self->heldOrders() : PeerOrderWatch{};
+        },
+        [Weak](const StoreCursor &Position, TimePoint ConfirmedAt,
+               const std::optional<OrderSnapshot> &Orders) {
+          const std::shared_ptr<Impl> Self = Weak.lock();
+          return Self ? Self->receive(Position, ConfirmedAt, Orders) : OrderFollower::Reception::Applied;
+        });
+  }
+
+  ConfigRevision revision() const {
+    return m_State.m_ConfigIndex ? m_State.m_ConfigIndex->config().m_Revision : ConfigRevision();
+  }
+
+  /// @return time since the orders were last confirmed, or since the start
+  Duration unconfirmedTime() const { return m_Clock() - m_State.m_OrdersReadAt.value_or(m_StartedAt); }
+
+  /// @return what a relay is told of the orders known here
+  PeerOrderWatch heldOrders() const {
+    PeerOrderWatch Held;
+    if (m_OrderBook.position()) {
+      Held.m_Era = m_OrderBook.position()->m_Era.value();
+      Held.m_Version = m_OrderBook.position()->m_Version;
+    }
+    Held.m_Revision = revision();
+    Held.m_Age = std::chrono::duration_cast<milliseconds>(unconfirmedTime());
+    return Held;
+  }
+
+  /// Applies what a relay has sent.
+  OrderFollower::Reception receive(const StoreCursor &Position, TimePoint ConfirmedAt,
+                                   const std::optional<OrderSnapshot> &Orders) {
+    observeEra(Position.m_Era, "orders");
+    if (m_State.m_StoreEras.isStale(Position.m_Era) || m_OrderBook.isOutdated(Position))
+      return OrderFollower::Reception::Applied;
+    if (!Orders) {
+      if (m_OrderBook.isRestoredSince(Position.m_Era))
+        return OrderFollower::Reception::Applied;
+      m_RelayedCursor = Position;
+      m_OrderBook.confirm(Position, ConfirmedAt);
+      onOrdersConfirmed(ConfirmedAt);
+      return OrderFollower::Reception::Applied;
+    }
+    OrderChanges Changes;
+    if (Orders->m_Config && Orders->m_Config->m_Revision > revision()) {
+      const ConfigDelta &Delta = *Orders->m_Config;
+      if (Delta.m_Base != ConfigRevision() && Delta.m_Base != revision())
+        return OrderFollower::Reception::WrongBase;
+      const ForwardConfig Empty;
+      Changes.m_Config =
+          applyDelta(Delta.m_Base == ConfigRevision() ? Empty : m_State.m_ConfigIndex->config(), Delta);
+      if (!Changes.m_Config) {
+        m_Log.add(LogClass::State, "orders_damaged",
+                  {{"base", static_cast<std::int64_t>(Delta.m_Base.value())},
+                   {"revision", static_cast<std::int64_t>(Delta.m_Revision.value())}});
+        return OrderFollower::Reception::Damaged;
+      }
+    }
+    Changes.m_FullSnapshot = true;
+    Changes.m_Era = Position.m_Era;
+    Changes.m_Cursor = Position.m_Version;
+    Changes.m_DomainsOut = Orders->m_DomainsOut;
+    Changes.m_Trials = Orders->m_Trials;
+    m_RelayedCursor = Position;
+    const bool ConfigChanged = applyOrders(Changes, ConfirmedAt);
+    m_OrderPacer.onRead(ConfigChanged, Duration::zero(), m_Clock());
+    return OrderFollower::Reception::Applied;
+  }
+
+  /// Applies an answer about the orders unless a newer one has been applied, and passes them on.
+  /// @return whether the configuration changed
+  bool applyOrders(OrderChanges &Changes, TimePoint ConfirmedAt) {
+    const StoreCursor Position{Changes.m_Era, Changes.m_Cursor};
+    bool ConfigChanged = false;
+    if (!m_OrderBook.isOutdated(Position)) {
+      Changes.m_AfterRestore = m_OrderBook.isRestoredSince(Changes.m_Era);
+      ConfigChanged = apply(Changes);
+      m_OrderBook.apply(Changes, m_State.m_ConfigIndex, ConfirmedAt);
+    }
+    onOrdersConfirmed(ConfirmedAt);
+    return ConfigChanged;
+  }
+
+  void onOrdersConfirmed(TimePoint ConfirmedAt) {
+    m_State.m_OrdersReadAt = std::max(m_State.m_OrdersReadAt.value_or(ConfirmedAt), ConfirmedAt);
+    m_Relay.notify();
+  }
+
+  /// The orders as the store has them; not watched while relays confirm them.
   WatchedTable<OrderChanges> orders() {
     WatchedTable<OrderChanges> Table;
     Table.m_Feed.m_Name = "orders";
     Table.m_Read = &ControlStore::readOrders;
     Table.m_Watch = &ControlStore::watchOrders;
     Table.m_Prepare = [this](Feed &Orders) {
+      if (!m_Sources.needsStore(unconfirmedTime(), m_Clock()))
+        return false;
+      if (m_RelayedCursor)
+        Orders.m_Cursor = std::exchange(m_RelayedCursor, std::nullopt);
+      const bool Starting = m_Clock() - m_StartedAt < StartTime;
+      Orders.m_WatchTimeout = Starting || m_Sources.hasRelays() ? RelayedWatchTimeout : WatchTimeout;
       Orders.m_ReadNext = m_OrderPacer.next().m_Call == OrderCall::Read;
       m_OrderCall = Orders.reads() ? OrderCall::Read : OrderCall::Watch;
       m_OrderCallSentAt = m_Clock();
       return true;
     };
-    Table.m_Apply = [this](Feed &Orders, const OrderChanges &Changes) {
-      // A call of the slow watch on crashes may have been lost with the store.
-      if (Orders.m_Unavailable)
-        m_PromptEvidence->readAll();
-      const bool ConfigChanged = apply(Changes);
+    Table.m_Apply = [this](Feed &Orders, OrderChanges &Changes) {
+      const bool FullSnapshot = Changes.m_FullSnapshot;
+      const std::size_t SupersededCount = Changes.m_SupersededCount;
       const TimePoint Now = m_Clock();
-      m_State.m_OrdersReadAt = Now;
-      const NextOrderCall Next = Changes.m_FullSnapshot
+      const bool ConfigChanged = applyOrders(Changes, Now);
+      const NextOrderCall Next = FullSnapshot
                                      ? m_OrderPacer.onRead(ConfigChanged, Now - m_OrderCallSentAt, Now)
-                                     : m_OrderPacer.onWatched(ConfigChanged, Changes.m_SupersededCount, Now);
+                                     : m_OrderPacer.onWatched(ConfigChanged, SupersededCount, Now);
       Orders.m_Interval = Next.m_Pause + (Next.m_Call == OrderCall::Read ? randomPause() : Duration::zero());
     };
     Table.m_Failed = [this](const Error &Failure) {
@@ -144,9 +292,12 @@
     Table.m_Feed = {"upstreams", RegistryWatchInterval};
     Table.m_Read = &ControlStore::readUpstreams;
     Table.m_Watch = &ControlStore::watchUpstreams;
-    Table.m_Apply = [this](Feed &Upstreams, const UpstreamChanges &Changes) {
-      if (Upstreams.m_Unavailable)
+    Table.m_Apply = [this](Feed &Upstreams, UpstreamChanges &Changes) {
+      if (Upstreams.m_Unavailable) {
         m_RegistryRecoveredAt = m_Clock();
+        // A call of the slow watch on crashes may have been lost with the store.
+        m_PromptEvidence->readAll();
+      }
       apply(Changes);
     };
     return Table;
@@ -159,7 +310,7 @@
     Table.m_Feed = {"trials", TrialStatusWatchInterval};
     Table.m_Read = &ControlStore::readTrials;
     Table.m_Watch = &ControlStore::watchTrials;
-    Table.m_Apply = [this](Feed &, const TrialChanges &Changes) { m_Rollouts->apply(Changes); };
+    Table.m_Apply = [this](Feed &, TrialChanges &Changes) { m_Rollouts->apply(Changes); };
     Table.m_Prepare = [this](Feed &Trials) {
       if (m_Rollouts->takeStatusSnapshotNeeded())
         Trials.m_Cursor.reset();
@@ -174,7 +325,7 @@
     Table.m_Feed = {"evidence", EvidenceWatchInterval};
     Table.m_Read = &ControlStore::readEvidence;
     Table.m_Watch = &ControlStore::watchEvidence;
-    Table.m_Apply = [this](Feed &, const EvidenceChanges &Changes) { m_Rollouts->apply(Changes); };
+    Table.m_Apply = [this](Feed &, EvidenceChanges &Changes) { m_Rollouts->apply(Changes); };
     Table.m_Prepare = [this](Feed &Evidence) {
       if (m_Rollouts->takeEvidenceSnapshotNeeded())
         Evidence.m_Cursor.reset();
@@ -190,9 +341,7 @@
     Table.m_Feed = {"crashes", WatchInterval};
     Table.m_Read = &ControlStore::readPromptEvidence;
     Table.m_Watch = &ControlStore::watchPromptEvidence;
-    Table.m_Apply = [this](Feed &, const PromptEvidenceChanges &Changes) {
-      m_PromptEvidence->apply(Changes);
-    };
+    Table.m_Apply = [this](Feed &, PromptEvidenceChanges &Changes) { m_PromptEvidence->apply(Changes); };
     Table.m_Prepare = [this](Feed &Crashes) {
       Crashes.m_WatchTimeout =
           m_State.m_PromptQuarantine.hasCrashes() ? CrashWatchTimeout : CalmCrashWatchTimeout;
@@ -436,6 +585,7 @@
     m_Log.flush();
     m_Rollouts->onTick();
     m_PromptEvidence->onTick();
+    m_Follower->logSources();
     logOrdersAge();
   }
 
@@ -459,11 +609,21 @@
   EventLog &m_Log;
   ClockHook m_Clock;
   RandomHook m_Random;
-  ConfigHook m_OnConfig;
+  ControlDependencies::ConfigHook m_OnConfig;
+  OrderWatchHook m_WatchOrders;
+  std::optional<DaemonContact> m_Contact;
   std::shared_ptr<RolloutCoordinator> m_Rollouts;
-  std::shared_ptr<DaemonList> m_Daemons;
   std::shared_ptr<PromptEvidenceExchange> m_PromptEvidence;
   Ticker m_Ticker;
+  OrderBook m_OrderBook;
+  OrderRelay m_Relay;
+  OrderSources m_Sources;
+  std::shared_ptr<DaemonList> m_Daemons;     ///< Set by start().
+  std::shared_ptr<OrderFollower> m_Follower; ///< Set by start().
+  TimePoint m_StartedAt{};
+  /// Position of the latest relayed orders, if the store has not been called since.
+  std::optional<StoreCursor> m_RelayedCursor;
+  bool m_OrdersStarted = false; ///< Whether the orders are read and followed.
   bool m_Stopped = false;
   OrderPacer m_OrderPacer;
   OrderCall m_OrderCall = OrderCall::Read; ///< The latest call for the orders.
@@ -474,10 +634,8 @@
   bool m_OrdersLate = false; ///< Whether the log says that the orders are late.
 };
 
-ControlService::ControlService(asio::io_context &Context, ControlStore &Store, GatewayState &State,
-                               EventLog &Log, ClockHook Clock, RandomHook Random, ConfigHook OnConfig)
-    : m_Impl(std::make_shared<Impl>(Context, Store, State, Log, std::move(Clock), std::move(Random),
-                                    std::move(OnConfig))) {}
+ControlService::ControlService(asio::io_context &Context, ControlDependencies Dependencies)
+    : m_Impl(std::make_shared<Impl>(Context, std::move(Dependencies))) {}
 ControlService::~ControlService() { m_Impl->stop(); }
 
 Result<void> ControlService::start() {
@@ -485,5 +643,8 @@
   return {};
 }
 void ControlService::stop() { m_Impl->stop(); }
+asio::awaitable<Expected<PeerOrders>> ControlService::answerOrderWatch(PeerOrderWatch Held) {
+  return m_Impl->answerOrderWatch(std::move(Held));
+}
 
 } // namespace bulrushpitch
--- a/packages/gateway/src/daemon_list.cpp
+++ b/packages/gateway/src/daemon_list.cpp
@@ -2,6 +2,7 @@
 
 #include "outcome_log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bulrushpitch {
@@ -12,6 +13,10 @@
 namespace {
 
 constexpr Duration ListInterval = std::chrono::seconds(10);
+/// The list grows with the number of daemons, and each of them reads it.
+constexpr std::size_t DaemonsPerListInterval = 100;
+/// After the first reading: daemons that start together see each other only in the next one.
+constexpr Duration SecondReadingPause = milliseconds(2000);
 constexpr Duration HeartbeatInterval = std::chrono::seconds(30);
 /// After a heartbeat that failed.
 constexpr Duration RetryInterval = milliseconds(800);
@@ -23,28 +28,39 @@
 } // namespace
 
 DaemonList::DaemonList(asio::io_context &Context, ControlStore &Store, GatewayState &State, EventLog &Log,
-                       ClockHook Clock, RandomHook Random)
+                       ClockHook Clock, RandomHook Random, ContactHook Contact, ListHook OnList)
     : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)),
-      m_Random(std::move(Random)) {}
+      m_Random(std::move(Random)), m_Contact(std::move(Contact)), m_OnList(std::move(OnList)) {}
 
 void DaemonList::start() { spawn(m_Context, run(shared_from_this())); }
 
 void DaemonList::onStoreRestored() { spawn(m_Context, registerAgain(shared_from_this())); }
 
 asio::awaitable<void> DaemonList::run(std::shared_ptr<DaemonList> Self) {
+  // The others are known before this daemon reads anything large, and its calls are timed before it says
+  // whether it is near the store.
+  co_await Self->readList();
+  Duration Pause = SecondReadingPause;
   while (!Self->m_Stopped) {
     const bool HeartbeatDue =
         !Self->m_HeartbeatSentAt || Self->m_Clock() - *Self->m_HeartbeatSentAt >= HeartbeatInterval;
     if (HeartbeatDue)
       co_await Self->sendHeartbeat();
+    co_await sleepFor(Self->m_Context,
+                      Self->m_HeartbeatSentAt ? std::exchange(Pause, Self->listInterval()) : RetryInterval);
     co_await Self->readList();
-    co_await sleepFor(Self->m_Context, Self->m_HeartbeatSentAt ? ListInterval : RetryInterval);
   }
 }
 
+Duration DaemonList::listInterval() const {
+  const std::size_t Daemons = m_State.m_PlacementContext.m_Daemons.size();
+  return ListInterval * std::max<std::size_t>(1, Daemons / DaemonsPerListInterval);
+}
+
 asio::awaitable<void> DaemonList::sendHeartbeat() {
   const TimePoint Now = m_Clock();
-  const Expected<Done> Registered = co_await m_Store.registerDaemon(m_State.m_PlacementContext.m_Instance);
+  const Expected<Done> Registered =
+      co_await m_Store.registerDaemon(m_State.m_PlacementContext.m_Instance, m_Contact());
   logFailure(m_Log, "heartbeat_failed", Registered);
   if (Registered)
     m_HeartbeatSentAt = Now;
@@ -53,14 +69,17 @@
 asio::awaitable<void> DaemonList::readList() {
   const Expected<std::vector<ListedDaemon>> Listed = co_await m_Store.readDaemons();
   logFailure(m_Log, "daemons_not_read", Listed);
-  if (!Listed || isOutdated(*Listed))
+  if (!Listed || isOutdated(*Listed)) {
+    m_OnList(m_Membership.aliveRows(m_Clock()));
     co_return;
+  }
   const StoreEra Era = Listed->empty() ? m_State.m_StoreEras.current() : Listed->front().m_Era;
   if (std::exchange(m_ListEra, Era).value_or(Era) != Era)
     m_Membership.updateAfterRestore(*Listed, m_Clock());
   else
     m_Membership.update(*Listed, m_Clock());
   m_State.setDaemons(m_Membership.alive(m_Clock()));
+  m_OnList(m_Membership.aliveRows(m_Clock()));
   co_await removeExpired(m_Membership.expired(m_Clock()));
 }
 
--- a/packages/gateway/src/daemon_list.h
+++ b/packages/gateway/src/daemon_list.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -21,8 +22,14 @@
 /// Not thread-safe; used from one event loop. Must be owned by a shared_ptr, which its store calls extend.
 class DaemonList : public std::enable_shared_from_this<DaemonList> {
 public:
+  /// Called with the daemons that are alive, after each attempt to read the list.
+  using ListHook = std::function<void(std::vector<ListedDaemon> Alive)>;
+  /// Called before each heartbeat.
+  /// @return what this daemon says of itself
+  using ContactHook = std::function<std::optional<DaemonContact>()>;
+
   DaemonList(boost::asio::io_context &Context, ControlStore &Store, GatewayState &State, EventLog &Log,
-             ClockHook Clock, RandomHook Random);
+             ClockHook Clock, RandomHook Random, ContactHook Contact, ListHook OnList);
 
   void start();
   void stop() { m_Stopped = true; }
@@ -32,6 +39,8 @@
 
 private:
   static boost::asio::awaitable<void> run(std::shared_ptr<DaemonList> Self);
+  /// @return pause between two reads of the list, which grows with the number of daemons
+  Duration listInterval() const;
   static boost::asio::awaitable<void> registerAgain(std::shared_ptr<DaemonList> Self);
   boost::asio::awaitable<void> sendHeartbeat();
   boost::asio::awaitable<void> readList();
@@ -48,6 +57,8 @@
   EventLog &m_Log;
   ClockHook m_Clock;
   RandomHook m_Random;
+  ContactHook m_Contact;
+  ListHook m_OnList;
   bool m_Stopped = false;
   DaemonMembership m_Membership;
   std::optional<StoreEra> m_ListEra; ///< Era in which the list was last read.
