--- a/packages/daemon/tests/distribution/config_distribution_test.cpp
+++ b/packages/daemon/tests/group/config_distribution_test.cpp
@@ -1,21 +1,18 @@
-#include "bulrushpitch/daemon/gateway_daemon.h"
-
 #include "bulrushpitch/adapter/testing/store_standin.h"
 #include "bulrushpitch/core/expected.h"
 #include "bulrushpitch/net/net.h"
+#include "daemon_group.h"
 #include "thin_link.h"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
-#include <memory>
+#include <optional>
 #include <string>
-#include <thread>
-#include <vector>
 
 using namespace bulrushpitch;
+using bulrushpitch::testing::DaemonGroup;
 using bulrushpitch::testing::ThinLink;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -45,16 +42,6 @@
   return Text + "]}";
 }
 
-/// A daemon with a loop of its own, which can stand still while its connections stay open.
-struct Process {
-  explicit Process(const GatewaySettings &Settings) : m_Daemon(m_Context, Settings) {}
-
-  asio::io_context m_Context;
-  asio::executor_work_guard<asio::io_context::executor_type> m_Work = asio::make_work_guard(m_Context);
-  GatewayDaemon m_Daemon;
-  bool m_Frozen = false;
-};
-
 /// Daemons in two regions; those of the far one reach the store over a thin link.
 struct Fixture {
   Fixture() {
@@ -62,34 +49,14 @@
     m_Link.emplace(m_Context, m_Store.address(), LinkBytesPerSecond);
     publish(20);
     for (std::size_t Index = 0; Index < NearDaemons; ++Index)
-      start("near-" + std::to_string(Index), "west-a", m_Store.address());
-    runFor(milliseconds(700));
+      REQUIRE(m_Daemons.start("near-" + std::to_string(Index), "west-a", m_Store.address()));
+    m_Daemons.runFor(milliseconds(700));
     for (std::size_t Index = 0; Index < FarDaemons; ++Index)
-      start("far-" + std::to_string(Index), "hill-a", m_Link->address());
-    runFor(milliseconds(3000));
+      REQUIRE(m_Daemons.start("far-" + std::to_string(Index), "hill-a", m_Link->address()));
+    m_Daemons.runFor(milliseconds(3000));
     REQUIRE(daemonsThatKnow(m_Routes) == m_Daemons.size());
   }
 
-  void start(const std::string &Name, const std::string &Domain, const Endpoint &Store) {
-    GatewaySettings Settings;
-    Settings.m_Instance = InstanceId(Name);
-    Settings.m_Domain = DomainId(Domain);
-    Settings.m_Domains = {{DomainId("west-a"), RegionId("west")}, {DomainId("hill-a"), RegionId("hill")}};
-    Settings.m_Region = Settings.m_Domains[Settings.m_Domain];
-    Settings.m_Listen.m_Callers = {"127.0.0.1", freePort()};
-    Settings.m_Listen.m_Readiness = {"127.0.0.1", freePort()};
-    Settings.m_Listen.m_Peers = {"127.0.0.1", freePort()};
-    Settings.m_Store = {Store.m_Address, Store.m_Port};
-    m_Callers.push_back({"127.0.0.1", Settings.m_Listen.m_Callers.m_Port});
-    m_Daemons.push_back(std::make_unique<Process>(Settings));
-    REQUIRE(capture([this] { return m_Daemons.back()->m_Daemon.start(); }));
-  }
-
-  std::uint16_t freePort() {
-    asio::ip::tcp::acceptor Acceptor(m_Context, {asio::ip::make_address("127.0.0.1"), 0});
-    return Acceptor.local_endpoint().port();
-  }
-
   void publish(std::size_t Routes) {
     m_Routes = Routes;
     m_Store.put("op", "config", configOf(++m_Revision, Routes));
@@ -100,12 +67,12 @@
     std::deque<std::optional<HttpResponse>> Responses(m_Daemons.size());
     std::size_t Ended = 0;
     for (std::size_t Index = 0; Index < m_Daemons.size(); ++Index)
-      if (!m_Daemons[Index]->m_Frozen)
-        spawn(m_Context, ask(m_Callers[Index], Routes - 1, Responses[Index], Ended));
+      if (!m_Daemons.frozen(Index))
+        spawn(m_Context, ask(m_Daemons.callers(Index), Routes - 1, Responses[Index], Ended));
       else
         ++Ended;
     while (Ended < m_Daemons.size())
-      runOnce();
+      m_Daemons.runOnce();
     return static_cast<std::size_t>(
         std::count_if(Responses.begin(), Responses.end(), [](const std::optional<HttpResponse> &Response) {
           return Response && Response->m_Status != 404;
@@ -127,42 +94,20 @@
   std::size_t daemonsInTime() {
     const TimePoint Start = systemClock()();
     while (systemClock()() - Start < TimeToBeInForce) {
-      if (daemonsThatKnow(m_Routes) == running())
-        return running();
-      runFor(milliseconds(100));
+      if (daemonsThatKnow(m_Routes) == m_Daemons.running())
+        return m_Daemons.running();
+      m_Daemons.runFor(milliseconds(100));
     }
     return daemonsThatKnow(m_Routes);
   }
 
-  std::size_t running() const {
-    return static_cast<std::size_t>(std::count_if(m_Daemons.begin(), m_Daemons.end(),
-                                                  [](const auto &Daemon) { return !Daemon->m_Frozen; }));
-  }
-
-  void runFor(milliseconds Period) {
-    const TimePoint End = systemClock()() + Period;
-    while (systemClock()() < End)
-      runOnce();
-  }
-
-  /// Lets everyone who is not frozen do what is due.
-  void runOnce() {
-    std::size_t Handlers = m_Context.poll();
-    for (const std::unique_ptr<Process> &Daemon : m_Daemons)
-      if (!Daemon->m_Frozen)
-        Handlers += Daemon->m_Context.poll();
-    if (Handlers == 0)
-      std::this_thread::sleep_for(milliseconds(1));
-  }
-
   asio::io_context m_Context;
   testing::StoreStandin m_Store{m_Context};
   std::optional<ThinLink> m_Link;
   HttpClient m_Caller{m_Context, "call gateway"};
   std::uint64_t m_Revision = 0;
   std::size_t m_Routes = 0; ///< Of the newest configuration.
-  std::vector<Endpoint> m_Callers;
-  std::vector<std::unique_ptr<Process>> m_Daemons;
+  DaemonGroup m_Daemons{m_Context};
 };
 
 } // namespace
@@ -172,28 +117,28 @@
   for (int Change = 1; Change <= 2; ++Change) {
     const std::uint64_t BytesBefore = m_Link->bytes();
     publish(m_Routes + AddedRoutes);
-    CHECK(daemonsInTime() == running());
+    CHECK(daemonsInTime() == m_Daemons.running());
     const std::size_t RowBytes = configOf(m_Revision, m_Routes).size() * 4 / 3;
     CHECK(m_Link->bytes() - BytesBefore < 3 * RowBytes);
-    runFor(milliseconds(1500));
+    m_Daemons.runFor(milliseconds(1500));
   }
 }
 
 // Guards against a relay that stands still and keeps the daemons behind it on an old configuration.
 TEST_CASE_FIXTURE(Fixture, "a configuration is in force in time though daemons freeze as it is published") {
   for (std::size_t Index = 0; Index < m_Daemons.size(); Index += 4)
-    m_Daemons[Index]->m_Frozen = true;
+    m_Daemons.freeze(Index);
   publish(m_Routes + AddedRoutes);
-  CHECK(daemonsInTime() == running());
-  CHECK(running() == 12);
+  CHECK(daemonsInTime() == m_Daemons.running());
+  CHECK(m_Daemons.running() == 12);
 }
 
 // Guards against all daemons behind a link that turn to the store at once, and fill the link, when the first
 // ones are lost.
 TEST_CASE_FIXTURE(Fixture, "a configuration is in force in time though all daemons near the store freeze") {
   for (std::size_t Index = 0; Index < NearDaemons; ++Index)
-    m_Daemons[Index]->m_Frozen = true;
-  runFor(milliseconds(500));
+    m_Daemons.freeze(Index);
+  m_Daemons.runFor(milliseconds(500));
   publish(m_Routes + AddedRoutes);
   CHECK(daemonsInTime() == FarDaemons);
 }
