forward: what upstreams may be sent after they have named a limit (LIMIT)

Callers saw: an upstream in need that had named a limit of 1.5 requests a second got 17 in four seconds from daemons that it had told, where 14 are allowed.

Cause: Server-Limit was read nowhere; each daemon went on at its usual rate. Class: a signal of overload without a receiver, and a limit that holds for all daemons together.

Now the head of every answer (refusals, errors, answers that break off, streams) is read into an UpstreamNotice; UpstreamNotices keeps it by incarnation, and the placement, the one place that all attempts pass (first ones, retries, larger models, resumed streams, trial traffic, cold upstreams), admits a request only within this daemon's share. Shares below one request a window fall to the daemons of the lowest ranks, which change with each epoch of the store's clock, so that everyone learns the end of a limit; two epochs together stay within what is tolerated. A daemon that was not told sends at most one request before it is, so nothing is passed on between daemons. When all upstreams are at their limits a request is rejected at once, with the time at which this daemon may send again.

--- a/packages/forward/include/bulrushpitch/forward/placement.h
+++ b/packages/forward/include/bulrushpitch/forward/placement.h
@@ -46,6 +46,9 @@
   RegionId m_Region;
   InstanceId m_Instance;
   std::vector<InstanceId> m_Daemons; ///< All daemons, this one included.
+  /// Number of the current epoch, about the same at all daemons. The shares of limits that are too small for
+  /// all daemons pass to others with each epoch.
+  std::uint64_t m_ShareEpoch = 0;
 };
 
 /// @brief Ranks the daemons by a hash with a key; all daemons compute the same order without communication.
@@ -58,6 +61,7 @@
 enum class PlacementRejection : std::uint8_t {
   NoUpstream, ///< No registered upstream is allowed for the request.
   AllCold,    ///< The allowed upstreams that were not tried are cold and at their rate limits.
+  AllLimited, ///< Those that are not, have named limits that this daemon's share of is used up.
   AllTried    ///< The request was already sent to all allowed upstreams.
 };
 
@@ -69,6 +73,8 @@
   PooledUpstream *m_Upstream = nullptr;                            ///< Null if no upstream is available.
   PlacementRejection m_Rejection = PlacementRejection::NoUpstream; ///< Only meaningful if m_Upstream is null.
   std::string_view m_Method;                                       ///< How it was chosen, for logs.
+  /// When an upstream that is at its limit can take a request of this daemon; nothing if that is not known.
+  std::optional<TimePoint> m_RetryAt;
 };
 
 /// @brief Finds the best upstream for a request.
@@ -84,7 +90,7 @@
 Placement findUpstream(UpstreamPool &Pool, const PlacementQuery &Query, const PlacementContext &Context,
                        TimePoint Now);
 
-/// @brief Like findUpstream(); if the upstream is cold, counts the request against its rate limit.
+/// @brief Like findUpstream(); counts the request against the limits of the upstream, if it has any.
 Placement chooseUpstream(UpstreamPool &Pool, const PlacementQuery &Query, const PlacementContext &Context,
                          TimePoint Now);
 
--- a/packages/forward/include/bulrushpitch/forward/rate_limiter.h
+++ b/packages/forward/include/bulrushpitch/forward/rate_limiter.h
@@ -3,26 +3,33 @@
 
 #include "bulrushpitch/core/clock.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace bulrushpitch {
 
+/// @brief A maximum number of requests in any window of a length.
+struct RequestRate {
+  std::uint32_t m_Count = 0; ///< 0 admits none.
+  Duration m_Window = std::chrono::seconds(1);
+};
+
 /// @brief Rate limiter for the requests of one daemon to one upstream.
 ///
-/// Requests are spaced evenly, so that the limit holds in every sliding one-second window, not only in
-/// calendar seconds.
+/// Requests are spaced evenly, so that the limit holds in every sliding window, not only in calendar ones.
 class RateLimiter {
 public:
-  /// @brief Admits one request if the limit allows it now.
-  /// @param MaxPerSecond maximum number of requests in any second; 0 admits none
+  /// @brief Admits one request if the rate allows it now.
   /// @return whether the request was admitted
-  bool tryAcquire(TimePoint Now, std::uint32_t MaxPerSecond);
+  bool tryAcquire(TimePoint Now, const RequestRate &Rate);
   /// @return whether tryAcquire() would admit a request now
-  bool canAcquire(TimePoint Now, std::uint32_t MaxPerSecond) const;
+  bool canAcquire(TimePoint Now, const RequestRate &Rate) const;
+  /// @return the time from which a request is admitted; nothing if the rate admits none
+  std::optional<TimePoint> nextAt(const RequestRate &Rate) const;
 
 private:
-  TimePoint m_LastAdmittedAt{};
-  bool m_HasAdmitted = false;
+  std::optional<TimePoint> m_LastAdmittedAt;
 };
 
 /// @brief Divides an upstream's rate limit among the daemons, without communication.
--- a/packages/forward/include/bulrushpitch/forward/upstream_pool.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_pool.h
@@ -5,6 +5,7 @@
 #include "bulrushpitch/forward/attempt.h"
 #include "bulrushpitch/forward/objects.h"
 #include "bulrushpitch/forward/rate_limiter.h"
+#include "bulrushpitch/forward/upstream_notices.h"
 
 #include <cstdint>
 #include <map>
@@ -112,6 +113,9 @@
   const std::vector<PooledUpstream *> &ofService(const ServiceId &Id) const;
   PooledUpstream *find(const UpstreamId &Id);
   std::size_t size() const { return m_Upstreams.size(); }
+  /// @return what the upstreams have said of themselves in their answers
+  UpstreamNotices &notices() { return m_Notices; }
+  const UpstreamNotices &notices() const { return m_Notices; }
 
 private:
   /// An incarnation that has left.
@@ -129,6 +133,7 @@
   bool hasLeft(const RegisteredUpstream &Entry, TimePoint Now) const;
   const Departure *departureOf(const UpstreamId &Id, TimePoint Now) const;
 
+  UpstreamNotices m_Notices;
   std::map<DomainId, RegionId> m_Regions;
   struct DomainFailures {
     std::uint32_t m_ConsecutiveCount = 0; ///< Failed connections since anything came from the domain.
--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -50,13 +50,31 @@
   return std::find(Query.m_Tried.begin(), Query.m_Tried.end(), Candidate.m_Entry.m_Id) != Query.m_Tried.end();
 }
 
-/// @return this daemon's share of a cold upstream's rate limit, in requests per second
-std::uint32_t ownColdLimit(const PooledUpstream &Candidate, const PlacementQuery &Query,
-                           const PlacementContext &Context) {
+std::uint32_t daemonCount(const PlacementContext &Context) {
+  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(Context.m_Daemons.size()));
+}
+
+/// @return this daemon's share of a cold upstream's rate limit
+RequestRate ownColdLimit(const PooledUpstream &Candidate, const PlacementQuery &Query,
+                         const PlacementContext &Context) {
   const std::uint32_t Rank = daemonRank(Candidate.m_Entry.m_Id.value(), Context);
-  const std::uint32_t Daemons =
-      std::max<std::uint32_t>(1, static_cast<std::uint32_t>(Context.m_Daemons.size()));
-  return shareOfColdLimit(Query.m_ColdRequestsPerSecond, Daemons, Rank);
+  return {shareOfColdLimit(Query.m_ColdRequestsPerSecond, daemonCount(Context), Rank),
+          std::chrono::seconds(1)};
+}
+
+/// @return this daemon's share of the limits that the upstream names
+NamedLimitShare ownLimitShare(const PooledUpstream &Candidate, const PlacementContext &Context) {
+  const std::string Key = Candidate.m_Entry.m_Id.value() + "/" + std::to_string(Context.m_ShareEpoch);
+  return {daemonCount(Context), daemonRank(Key, Context)};
+}
+
+/// @return when this daemon may send a request to an upstream that names a limit; nothing if its share is
+/// zero
+std::optional<TimePoint> namedLimitAdmitsAt(const UpstreamPool &Pool, const PooledUpstream &Candidate,
+                                            const PlacementContext &Context) {
+  if (!Pool.notices().requestLimit(Candidate.m_Entry))
+    return TimePoint{};
+  return Pool.notices().nextRequestAt(Candidate.m_Entry, ownLimitShare(Candidate, Context));
 }
 
 /// @return false if the upstream is cold and the request would exceed this daemon's share of its rate limit
@@ -179,6 +197,8 @@
     return "no upstream";
   case PlacementRejection::AllCold:
     return "all upstreams are cold";
+  case PlacementRejection::AllLimited:
+    return "all upstreams are at their limits";
   case PlacementRejection::AllTried:
     return "all upstreams were tried";
   }
@@ -189,18 +209,30 @@
                        TimePoint Now) {
   std::vector<PooledUpstream *> Candidates;
   PlacementRejection Rejection = PlacementRejection::NoUpstream;
+  std::optional<TimePoint> RetryAt;
   for (PooledUpstream *Candidate : Pool.ofService(Query.m_Service)) {
     if (!Pool.usable(*Candidate, Now) || !allowed(*Candidate, Query))
       continue;
-    if (tried(*Candidate, Query))
+    if (tried(*Candidate, Query)) {
       Rejection = Rejection == PlacementRejection::NoUpstream ? PlacementRejection::AllTried : Rejection;
-    else if (!coldLimitAdmits(Pool, *Candidate, Query, Context, Now))
+      continue;
+    }
+    if (!coldLimitAdmits(Pool, *Candidate, Query, Context, Now)) {
       Rejection = PlacementRejection::AllCold;
-    else
+      continue;
+    }
+    const std::optional<TimePoint> AdmitsAt = namedLimitAdmitsAt(Pool, *Candidate, Context);
+    if (AdmitsAt && Now >= *AdmitsAt) {
       Candidates.push_back(Candidate);
+      continue;
+    }
+    if (AdmitsAt)
+      RetryAt = std::min(RetryAt.value_or(*AdmitsAt), *AdmitsAt);
+    if (Rejection != PlacementRejection::AllCold)
+      Rejection = PlacementRejection::AllLimited;
   }
   if (Candidates.empty())
-    return {nullptr, Rejection, "no upstream available"};
+    return {nullptr, Rejection, "no upstream available", RetryAt};
 
   prefer(Candidates, [&](const PooledUpstream &Candidate) { return !Pool.ejected(Candidate, Now); });
   prefer(Candidates, [&](const PooledUpstream &Candidate) {
@@ -215,13 +247,15 @@
   }
   PooledUpstream *Chosen = Query.m_Affinity ? chooseByAffinity(Pool, Candidates, Query, Context, Now)
                                             : chooseByWait(Candidates, Context);
-  return {Chosen, Rejection, Query.m_Affinity ? "affinity" : "shortest expected wait"};
+  return {Chosen, Rejection, Query.m_Affinity ? "affinity" : "shortest expected wait", std::nullopt};
 }
 
 Placement chooseUpstream(UpstreamPool &Pool, const PlacementQuery &Query, const PlacementContext &Context,
                          TimePoint Now) {
   const Placement Found = findUpstream(Pool, Query, Context, Now);
   PooledUpstream *Chosen = Found.m_Upstream;
+  if (Chosen && Pool.notices().requestLimit(Chosen->m_Entry))
+    Pool.notices().countRequest(Chosen->m_Entry, ownLimitShare(*Chosen, Context), Now);
   if (Chosen && Query.m_ColdRequestsPerSecond > 0.0 && Pool.cold(*Chosen, Now))
     Chosen->m_ColdRateLimiter.tryAcquire(Now, ownColdLimit(*Chosen, Query, Context));
   return Found;
--- a/packages/forward/src/rate_limiter.cpp
+++ b/packages/forward/src/rate_limiter.cpp
@@ -6,25 +6,29 @@
 
 namespace {
 
-/// Slightly longer than 1 s / n, so that n + 1 requests never fall into one second.
-Duration spacing(std::uint32_t MaxPerSecond) {
-  constexpr std::int64_t PaddedSecondNs = 1'050'000'000;
-  return Duration(PaddedSecondNs / MaxPerSecond);
+/// Slightly longer than window / n, so that n + 1 requests never fall into one window.
+Duration spacing(const RequestRate &Rate) {
+  constexpr double Padding = 1.05;
+  return std::chrono::duration_cast<Duration>(Rate.m_Window * (Padding / Rate.m_Count));
 }
 
 } // namespace
 
-bool RateLimiter::canAcquire(TimePoint Now, std::uint32_t MaxPerSecond) const {
-  if (MaxPerSecond == 0)
-    return false;
-  return !m_HasAdmitted || Now - m_LastAdmittedAt >= spacing(MaxPerSecond);
+std::optional<TimePoint> RateLimiter::nextAt(const RequestRate &Rate) const {
+  if (Rate.m_Count == 0)
+    return std::nullopt;
+  return m_LastAdmittedAt ? *m_LastAdmittedAt + spacing(Rate) : TimePoint{};
+}
+
+bool RateLimiter::canAcquire(TimePoint Now, const RequestRate &Rate) const {
+  const std::optional<TimePoint> Next = nextAt(Rate);
+  return Next && Now >= *Next;
 }
 
-bool RateLimiter::tryAcquire(TimePoint Now, std::uint32_t MaxPerSecond) {
-  if (!canAcquire(Now, MaxPerSecond))
+bool RateLimiter::tryAcquire(TimePoint Now, const RequestRate &Rate) {
+  if (!canAcquire(Now, Rate))
     return false;
   m_LastAdmittedAt = Now;
-  m_HasAdmitted = true;
   return true;
 }
 
--- a/packages/forward/tests/rate_limiter_test.cpp
+++ b/packages/forward/tests/rate_limiter_test.cpp
@@ -18,7 +18,7 @@
     TimePoint Now{};
     for (int Step = 0; Step < 200; ++Step) {
       Now += milliseconds(*rc::gen::inRange(0, 90));
-      if (!Limiter.tryAcquire(Now, MaxPerSecond))
+      if (!Limiter.tryAcquire(Now, {MaxPerSecond, std::chrono::seconds(1)}))
         continue;
       Sent.push_back(Now);
       while (Now - Sent.front() > std::chrono::seconds(1))
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -11,6 +11,7 @@
 #include "bulrushpitch/forward/objects.h"
 #include "bulrushpitch/forward/prompt_quarantine.h"
 #include "bulrushpitch/forward/store_era.h"
+#include "bulrushpitch/forward/upstream_notices.h"
 #include "bulrushpitch/net/http_message.h"
 #include "bulrushpitch/rpc/messages.h"
 
@@ -56,6 +57,7 @@
   bool m_NotRun = false;           ///< The upstream states that it did not run the request.
   bool m_WrongAddress = false;     ///< Another upstream has this address now; it did not run the request.
   std::optional<int> m_Confidence; ///< The model's confidence in its answer, 0 to 100.
+  UpstreamNotice m_Notice;         ///< What the upstream says of itself.
 };
 
 /// @brief Translates requests and responses between the platform's header fields and the router's types.
@@ -177,6 +179,8 @@
                                                                 std::optional<DaemonContact> Contact) = 0;
   /// @return the shortest time that a call other than a long poll has taken; nothing before the first one
   virtual std::optional<Duration> shortestCall() const = 0;
+  /// @return the store's steady clock now, about the same at all daemons; nothing before the first answer
+  virtual std::optional<Duration> storeTime() const = 0;
   /// @brief Removes the row of a daemon whose heartbeats have expired.
   /// @return error 604 if the row has another version: the daemon is alive
   virtual boost::asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon Expired) = 0;
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -49,6 +49,8 @@
 /// Registry entries that expired while the store was unavailable are written again within this time after its
 /// recovery.
 constexpr Duration EntryGracePeriod = milliseconds(2200);
+/// Several times the window over which requests are counted, so that shares of two epochs at most meet in it.
+constexpr Duration ShareEpochTime = std::chrono::seconds(16);
 /// Orders of this age are logged as late: a configuration must be in force in about as long.
 constexpr Duration LateOrdersAge = milliseconds(4000);
 /// Interval of onTick(), and of the checks whether rollout statuses and evidence have to be watched.
@@ -580,6 +582,8 @@
 
   void onTick() {
     m_State.m_Pool.expire(m_Clock());
+    if (const std::optional<Duration> StoreTime = m_Store.storeTime())
+      m_State.m_PlacementContext.m_ShareEpoch = static_cast<std::uint64_t>(*StoreTime / ShareEpochTime);
     if (!m_DomainsOut.expire(m_Clock()).empty())
       applyDomainsOut();
     m_Log.flush();
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -32,6 +32,8 @@
 constexpr Duration RetryAfterNoUpstream = milliseconds(1000);
 /// For failures other than a missing upstream.
 constexpr Duration DefaultRetryAfter = milliseconds(250);
+/// Other daemons may have an upstream earlier than this one.
+constexpr Duration MaxRetryAfter = milliseconds(2000);
 constexpr Duration RetryAfterNotReady = milliseconds(500);
 
 constexpr unsigned StatusUnauthorized = 401;
@@ -136,7 +138,7 @@
   while (!m_CallerGone) {
     const Placement Chosen = chooseNextUpstream();
     if (!Chosen.m_Upstream) {
-      m_NoUpstreamReason = Chosen.m_Rejection;
+      recordNoUpstream(Chosen);
       m_RetryDenial = RetryDenial::NoUpstream;
       break;
     }
@@ -202,7 +204,7 @@
   m_Tried.push_back(Id);
   m_Handle = std::make_shared<CallHandle>();
   HttpRequest Outgoing = m_Dependencies.m_Translation.m_ToUpstream(m_Request, upstreamCall(Target));
-  m_UpstreamStartedAt = Target.m_Entry.m_StartedAt;
+  m_AttemptUpstream = Target.m_Entry;
   m_AttemptRegion = Target.m_Region;
   m_SentTo.push_back(Id);
   CallOptions Options = callOptions(Id);
@@ -315,14 +317,38 @@
     static_cast<void>(co_await m_Writer.send(std::move(*m_ServerError)));
     co_return;
   }
-  Duration RetryAfter = DefaultRetryAfter;
-  if (foundNoUpstream())
-    RetryAfter = m_NoUpstreamReason == PlacementRejection::AllCold ? RetryAfterCold : RetryAfterNoUpstream;
-  const FinalFailure Failure = failureFor(m_LastOutcome, !m_MayHaveRun, RetryAfter);
+  const FinalFailure Failure = failureFor(m_LastOutcome, !m_MayHaveRun, retryAfter());
   co_await reject(Failure.m_Status, Failure.m_RetryAfter,
                   foundNoUpstream() ? nameOf(m_NoUpstreamReason) : "attempts failed");
 }
 
+Duration ForwardedRequest::retryAfter() const {
+  if (!foundNoUpstream())
+    return DefaultRetryAfter;
+  if (m_NoUpstreamReason == PlacementRejection::AllCold)
+    return RetryAfterCold;
+  if (!m_UpstreamAt)
+    return RetryAfterNoUpstream;
+  return std::clamp(*m_UpstreamAt - m_Dependencies.m_Clock(), DefaultRetryAfter, MaxRetryAfter);
+}
+
+void ForwardedRequest::recordNoUpstream(const Placement &Found) {
+  m_NoUpstreamReason = Found.m_Rejection;
+  m_UpstreamAt = Found.m_RetryAt;
+}
+
+void ForwardedRequest::recordNotice(const UpstreamNotice &Notice) {
+  UpstreamNotices &Notices = m_Dependencies.m_State.m_Pool.notices();
+  if (!Notices.record(m_AttemptUpstream, Notice, m_SentAt, m_Dependencies.m_Clock()))
+    return;
+  const std::optional<double> Limit = Notices.requestLimit(m_AttemptUpstream);
+  m_Dependencies.m_Log.add(LogClass::State, "upstream_notice",
+                           {{"upstream", std::string_view(m_AttemptUpstream.m_Id.value())},
+                            {"born", m_AttemptUpstream.m_StartedAt},
+                            {"limited", static_cast<std::int64_t>(Limit.has_value())},
+                            {"requests_per_second", Limit.value_or(0.0)}});
+}
+
 asio::awaitable<void> ForwardedRequest::reject(unsigned Status, std::optional<Duration> RetryAfter,
                                                std::string_view Reason) {
   recordRequestEnd(Reason, Status);
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -46,9 +46,13 @@
   Placement placeWith(Placement (*FindUpstream)(UpstreamPool &, const PlacementQuery &,
                                                 const PlacementContext &, TimePoint));
   Placement chooseNextUpstream();
+  /// @brief Keeps why a placement found no upstream.
+  void recordNoUpstream(const Placement &Found);
   /// @brief Sends the request to one upstream and relays the response if it may be relayed.
   boost::asio::awaitable<AttemptOutcome> attempt(PooledUpstream &Target);
   boost::asio::awaitable<AttemptOutcome> handleResponse(HttpStream &Response);
+  /// @brief Records what the upstream of the current attempt says of itself, and logs it if it is new.
+  void recordNotice(const UpstreamNotice &Notice);
   /// @brief Reserves what asking a larger model needs: an attempt, an upstream and a retry of the budget.
   /// @return false if the answer at hand has to be relayed
   bool acquireEscalation();
@@ -73,6 +77,8 @@
   boost::asio::awaitable<void> reject(unsigned Status, std::optional<Duration> RetryAfter,
                                       std::string_view Reason);
   boost::asio::awaitable<void> fail();
+  /// @return after what time the caller may find an upstream
+  Duration retryAfter() const;
   /// @return the part of the prompt that is in quarantine
   std::optional<QuarantinedPart> quarantinedPart() const;
   /// @brief Rejects the request because of a part of its prompt; no daemon will serve it.
@@ -144,7 +150,7 @@
   std::size_t m_ModelIndex = 0; ///< Index into the route's models.
   bool m_Escalated = false;
   std::size_t m_AttemptModelIndex = 0;     ///< Of the current attempt, for the log.
-  std::int64_t m_UpstreamStartedAt = 0;    ///< Of the current attempt's upstream, as in the registry.
+  RegisteredUpstream m_AttemptUpstream;    ///< Of the current attempt, as in the registry when it was sent.
   RegionId m_AttemptRegion;                ///< Of the current attempt's upstream, for the log.
   std::optional<ErrorCode> m_AttemptError; ///< Of the current attempt, for the log.
   std::uint32_t m_AttemptEvents = 0;       ///< Complete events received in the current attempt.
@@ -154,6 +160,7 @@
   bool m_AnyAttemptFailed = false;         ///< An attempt has failed; later ones avoid a version under trial.
   AttemptOutcome m_LastOutcome = AttemptOutcome::NotSent;
   PlacementRejection m_NoUpstreamReason = PlacementRejection::NoUpstream;
+  std::optional<TimePoint> m_UpstreamAt;    ///< When an upstream may be available, if that is known.
   std::optional<RetryDenial> m_RetryDenial; ///< Why there was no further attempt.
   TimePoint m_SentAt{};
   Duration m_PendingPrefill{}; ///< Prefill time of the current attempt, while pending at its upstream.
--- a/packages/gateway/src/relayed_response.cpp
+++ b/packages/gateway/src/relayed_response.cpp
@@ -37,6 +37,7 @@
       m_Dependencies.m_Translation.m_ReadResponseHead(Response.status(), Response.headers());
   if (Head.m_WrongAddress)
     co_return AttemptOutcome::WrongAddress;
+  recordNotice(Head.m_Notice);
   if (Head.m_NotRun)
     co_return AttemptOutcome::Refused;
   if (!Head.m_Signed)
--- a/packages/gateway/src/request_quarantine.cpp
+++ b/packages/gateway/src/request_quarantine.cpp
@@ -30,7 +30,7 @@
 
 void ForwardedRequest::recordCrashSuspicion(const UpstreamId &Target, AttemptOutcome Outcome) {
   const std::vector<PromptPartId> &Parts = m_Caller.m_PromptParts;
-  const UpstreamIncarnation Upstream{Target, m_UpstreamStartedAt};
+  const UpstreamIncarnation Upstream{Target, m_AttemptUpstream.m_StartedAt};
   PromptQuarantine &Quarantine = m_Dependencies.m_State.m_PromptQuarantine;
   const TimePoint Now = m_Dependencies.m_Clock();
   if (Outcome == AttemptOutcome::Escalated && !Parts.empty())
@@ -64,7 +64,7 @@
   m_Dependencies.m_Log.add(LogClass::Request, "prompt_suspected",
                            {{"request", std::string_view(m_Caller.m_AttemptId)},
                             {"upstream", std::string_view(Target.value())},
-                            {"born", m_UpstreamStartedAt},
+                            {"born", m_AttemptUpstream.m_StartedAt},
                             {"parts", std::string_view(Names)}});
 }
 
--- a/packages/gateway/src/request_retry.cpp
+++ b/packages/gateway/src/request_retry.cpp
@@ -143,7 +143,7 @@
   const Placement Found = placeWith(findUpstream);
   if (Found.m_Upstream)
     return std::nullopt;
-  m_NoUpstreamReason = Found.m_Rejection;
+  recordNoUpstream(Found);
   return RetryDenial::NoUpstream;
 }
 
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -106,6 +106,7 @@
     co_return Done{};
   }
   std::optional<Duration> shortestCall() const override { return milliseconds(5); }
+  std::optional<Duration> storeTime() const override { return std::nullopt; }
   asio::awaitable<Expected<Done>> registerDaemon(InstanceId, std::optional<DaemonContact>) override {
     ++m_Heartbeats;
     if (m_Unavailable)
--- a/packages/gateway/tests/forwarder_fixture.h
+++ b/packages/gateway/tests/forwarder_fixture.h
@@ -58,6 +58,8 @@
     Head.m_NotRun = Headers.find("not-run").has_value();
     if (const std::optional<std::string_view> Text = Headers.find("confidence"))
       Head.m_Confidence = std::stoi(std::string(*Text));
+    if (const std::optional<std::string_view> Text = Headers.find("limit"))
+      Head.m_Notice.m_RequestLimit = std::stod(std::string(*Text));
     return Head;
   };
   Translation.m_ToCaller = [](const HttpHeaders &Headers) {
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -59,6 +59,7 @@
     co_return unused();
   }
   std::optional<Duration> shortestCall() const override { return std::nullopt; }
+  std::optional<Duration> storeTime() const override { return std::nullopt; }
   asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon) override { co_return unused(); }
   asio::awaitable<Expected<std::vector<ListedDaemon>>> readDaemons() override { co_return unused(); }
 
