forward: an upstream that says in an answer that it leaves gets nothing more (DRAIN)

Now the notice binds this daemon from the head of the answer on, whatever the registry says and without the store, until the upstream's id is registered with another start. Heads of streams, refusals, errors and answers that break off count; an answer of another upstream at the address (421) and late ones of an earlier incarnation don't.

--- a/packages/daemon/tests/group/upstream_notices_test.cpp
+++ b/packages/daemon/tests/group/upstream_notices_test.cpp
@@ -173,3 +173,29 @@
   CHECK(static_cast<double>(Limited.mostInWindow(LimitWindow)) <= allowedBy(LimitPerSecond));
   CHECK(responsesWith(200) == m_Responses.size());
 }
+
+// Guards against requests to an upstream that ends, whose entry in the registry says otherwise or can't be
+// read.
+TEST_CASE_FIXTURE(Fixture, "an upstream that says that it leaves gets nothing more until it starts again") {
+  start(3, 2);
+  NoticingUpstream &Leaving = *m_Upstreams.front();
+  Leaving.m_Notices.add("Server-Leaving", "1");
+  SUBCASE("while the registry says that it is ready") {}
+  SUBCASE("while the store is unavailable") { m_Store.m_Unavailable = true; }
+  send(seconds(2), 60.0);
+  CHECK(Leaving.m_ToldAt.size() == 3);
+  CHECK(Leaving.mostInWindow(seconds(10)) == 0);
+  CHECK(responsesWith(200) == m_Responses.size());
+
+  m_Store.m_Unavailable = false;
+  registerUpstream(0);
+  m_Daemons.runFor(milliseconds(2500));
+  const std::size_t Before = Leaving.m_Arrivals.size();
+  send(seconds(1), 60.0);
+  CHECK(Leaving.m_Arrivals.size() == Before);
+  Leaving.m_Notices = HttpHeaders();
+  registerUpstream(0, 2);
+  m_Daemons.runFor(milliseconds(2500));
+  send(seconds(1), 60.0);
+  CHECK(Leaving.m_Arrivals.size() > Before);
+}
--- a/packages/forward/include/bulrushpitch/forward/upstream_notices.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_notices.h
@@ -17,6 +17,7 @@
   /// Requests per second that it accepts from all daemons together, for as long as its answers say so.
   std::optional<double> m_RequestLimit;
   bool m_LimitUnreadable = false; ///< It names a limit that can't be read; what is known of it stays.
+  bool m_Leaving = false;         ///< It is about to end.
 };
 
 /// @brief Requests that each daemon may send to an upstream that has named a limit.
@@ -39,13 +40,16 @@
 /// Not thread-safe.
 class UpstreamNotices {
 public:
-  /// @brief Records what the head of an answer says.
+  /// @brief Records what the head of an answer says. An upstream that has said that it leaves does so,
+  /// whatever it says later.
   /// @param Upstream the upstream as registered when the request was sent
   /// @param SentAt when the request was sent
   /// @return whether this changes what is known
   bool record(const RegisteredUpstream &Upstream, const UpstreamNotice &Notice, TimePoint SentAt,
               TimePoint Now);
 
+  /// @return whether the upstream has said that it is about to end
+  bool isLeaving(const RegisteredUpstream &Upstream) const;
   /// @return the limit that the upstream names; nothing if it names none
   std::optional<double> requestLimit(const RegisteredUpstream &Upstream) const;
   /// @return when this daemon may send the next request to the upstream; nothing if its share is zero
@@ -63,9 +67,14 @@
     std::optional<double> m_RequestLimit;
     TimePoint m_LimitNamedAt{}; ///< When an answer last named a limit.
     RateLimiter m_RateLimiter;
+    bool m_Leaving = false;
   };
 
   const Known *find(const RegisteredUpstream &Upstream) const;
+  /// @return whether the limit changed
+  bool recordLimit(const RegisteredUpstream &Upstream, const UpstreamNotice &Notice, TimePoint SentAt,
+                   TimePoint Now);
+  bool recordLeaving(const RegisteredUpstream &Upstream, TimePoint Now);
   /// @return what is known of the upstream; made if there is nothing
   Known &entryOf(const RegisteredUpstream &Upstream, TimePoint Now);
   void forgetOldest();
--- a/packages/forward/src/upstream_notices.cpp
+++ b/packages/forward/src/upstream_notices.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace bulrushpitch {
 
@@ -65,6 +66,17 @@
   const auto Found = m_Known.find(Upstream.m_Id);
   if (Found != m_Known.end() && Upstream.m_StartedAt < Found->second.m_StartedAt)
     return false; // A late answer of an earlier incarnation.
+  const bool LimitChanged = recordLimit(Upstream, Notice, SentAt, Now);
+  const bool LeavingChanged = Notice.m_Leaving && recordLeaving(Upstream, Now);
+  return LimitChanged || LeavingChanged;
+}
+
+bool UpstreamNotices::recordLeaving(const RegisteredUpstream &Upstream, TimePoint Now) {
+  return !std::exchange(entryOf(Upstream, Now).m_Leaving, true);
+}
+
+bool UpstreamNotices::recordLimit(const RegisteredUpstream &Upstream, const UpstreamNotice &Notice,
+                                  TimePoint SentAt, TimePoint Now) {
   if (Notice.m_LimitUnreadable)
     return false;
   if (Notice.m_RequestLimit) {
@@ -82,6 +94,11 @@
   return true;
 }
 
+bool UpstreamNotices::isLeaving(const RegisteredUpstream &Upstream) const {
+  const Known *Entry = find(Upstream);
+  return Entry && Entry->m_Leaving;
+}
+
 std::optional<double> UpstreamNotices::requestLimit(const RegisteredUpstream &Upstream) const {
   const Known *Entry = find(Upstream);
   return Entry ? Entry->m_RequestLimit : std::nullopt;
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -278,7 +278,7 @@
 bool UpstreamPool::usable(const PooledUpstream &Candidate, TimePoint Now) const {
   if (Candidate.m_Entry.m_Draining || m_DomainsOutOfService.count(Candidate.m_Entry.m_Domain) > 0)
     return false;
-  if (Now < Candidate.m_HeldUntil)
+  if (Now < Candidate.m_HeldUntil || m_Notices.isLeaving(Candidate.m_Entry))
     return false;
   return !Candidate.m_ExpiresAt || Now < *Candidate.m_ExpiresAt;
 }
--- a/packages/forward/tests/upstream_notices_test.cpp
+++ b/packages/forward/tests/upstream_notices_test.cpp
@@ -215,3 +215,15 @@
   CHECK(findUpstream(Pool, Query, Context, at(milliseconds(2200))).m_Upstream);
   CHECK(chooseUpstream(Pool, Query, Context, at(milliseconds(2200))).m_Upstream);
 }
+
+TEST_CASE("an upstream that has said that it leaves does so until it starts again") {
+  UpstreamNotices Notices;
+  UpstreamNotice Leaving;
+  Leaving.m_Leaving = true;
+  CHECK_FALSE(Notices.isLeaving(upstreamOf(5)));
+  CHECK(Notices.record(upstreamOf(5), Leaving, at(milliseconds(0)), at(milliseconds(10))));
+  CHECK_FALSE(Notices.record(upstreamOf(5), Leaving, at(milliseconds(0)), at(milliseconds(20))));
+  CHECK_FALSE(Notices.record(upstreamOf(5), {}, at(milliseconds(30)), at(milliseconds(40))));
+  CHECK(Notices.isLeaving(upstreamOf(5)));
+  CHECK_FALSE(Notices.isLeaving(upstreamOf(6)));
+}
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -345,6 +345,7 @@
   m_Dependencies.m_Log.add(LogClass::State, "upstream_notice",
                            {{"upstream", std::string_view(m_AttemptUpstream.m_Id.value())},
                             {"born", m_AttemptUpstream.m_StartedAt},
+                            {"leaving", static_cast<std::int64_t>(Notices.isLeaving(m_AttemptUpstream))},
                             {"limited", static_cast<std::int64_t>(Limit.has_value())},
                             {"requests_per_second", Limit.value_or(0.0)}});
 }
--- a/packages/gateway/tests/upstream_notice_test.cpp
+++ b/packages/gateway/tests/upstream_notice_test.cpp
@@ -102,3 +102,47 @@
     CHECK(send(request()).m_Status == 200);
   CHECK(Upstream.requests().size() == 5);
 }
+
+// Guards against an upstream that leaves and is sent requests until the registry says so.
+TEST_CASE_FIXTURE(Fixture, "an upstream that says in any answer that it leaves gets no further request") {
+  configure(RequestKind::Stream, 3);
+  ScriptedReply Reply;
+  SUBCASE("in the head of a stream") {
+    Reply.m_Bytes = streamHead("signed: 1\r\nleaving: 1\r\n") + events(1, 2) + StreamEnd;
+  }
+  SUBCASE("in the head of a stream that breaks off") {
+    Reply.m_Bytes = streamHead("signed: 1\r\nleaving: 1\r\n") + events(1, 1);
+    Reply.m_Close = true;
+  }
+  SUBCASE("in a refusal") { Reply.m_Bytes = makeResponse("", "not-run: 1\r\nleaving: 1\r\n", 503); }
+  SUBCASE("in a server error") { Reply.m_Bytes = makeResponse("", "signed: 1\r\nleaving: 1\r\n", 500); }
+  ScriptedUpstream &Leaving = add(alwaysReply(Reply));
+  add(alwaysReply({streamHead() + events(1, 2) + StreamEnd}));
+  for (int Number = 0; Number < 5; ++Number)
+    CHECK(send(request()).m_Status == 200);
+  CHECK(Leaving.requests().size() == 1);
+  // Its entry is written again, as by a registry that lags behind.
+  RegisteredUpstream Entry = m_State->m_Pool.find(UpstreamId("u1"))->m_Entry;
+  m_State->m_Pool.remove(Entry.m_Id, systemClock()(), Duration::zero());
+  m_State->m_Pool.update(Entry, systemClock()());
+  CHECK(send(request()).m_Status == 200);
+  CHECK(Leaving.requests().size() == 1);
+  Entry.m_StartedAt = 7;
+  m_State->m_Pool.update(Entry, systemClock()());
+  CHECK(send(request()).m_Status == 200);
+  CHECK(Leaving.requests().size() == 2);
+}
+
+// Guards against an upstream that is given up because of what another one at its address says.
+TEST_CASE_FIXTURE(Fixture,
+                  "an answer of another upstream at the address says nothing of the one that was asked") {
+  configure(RequestKind::Idempotent, 1);
+  ScriptedUpstream &Upstream = add([](const std::string &, int Number) {
+    if (Number == 1)
+      return ScriptedReply{makeResponse("", "wrong-address: 1\r\nleaving: 1\r\nlimit: 0\r\n", 421)};
+    return ScriptedReply{makeResponse("answer")};
+  });
+  CHECK(send(request()).m_Status == 503);
+  CHECK(send(request()).m_Body == "answer");
+  CHECK(Upstream.requests().size() == 2);
+}
