--- a/packages/forward/include/bulrushpitch/forward/event_splitter.h
+++ b/packages/forward/include/bulrushpitch/forward/event_splitter.h
@@ -49,14 +49,18 @@
   explicit EventSequence(std::optional<std::uint64_t> After = std::nullopt) : m_Last(After) {}
 
   /// @brief Classifies an event; one to be forwarded advances the sequence. An event without an id belongs to
-  /// the preceding event.
+  /// the preceding event of the same attempt.
   Verdict check(const StreamEvent &Event);
+  /// @brief Called before the events of another attempt. If some have been forwarded, its first one must have
+  /// an id: what precedes it is not part of the stream.
+  void beginAttempt();
   /// @return the id of the last forwarded event
   std::optional<std::uint64_t> last() const { return m_Last; }
 
 private:
   std::optional<std::uint64_t> m_Last;
-  bool m_Skipping = false; ///< The last event with an id was a repeated one.
+  bool m_Skipping = false;   ///< The last event with an id was a repeated one.
+  bool m_RequiresId = false; ///< The next event must have an id.
 };
 
 } // namespace bulrushpitch
--- a/packages/forward/src/event_splitter.cpp
+++ b/packages/forward/src/event_splitter.cpp
@@ -50,7 +50,15 @@
   return Event;
 }
 
+void EventSequence::beginAttempt() {
+  m_Skipping = false;
+  m_RequiresId = m_Last.has_value();
+}
+
 EventSequence::Verdict EventSequence::check(const StreamEvent &Event) {
+  if (!Event.m_Id && m_RequiresId)
+    return Verdict::Gap;
+  m_RequiresId = false;
   if (!Event.m_Id)
     return m_Skipping ? Verdict::Repeated : Verdict::Forward;
   m_Skipping = m_Last && *Event.m_Id <= *m_Last;
--- a/packages/gateway/src/relayed_response.cpp
+++ b/packages/gateway/src/relayed_response.cpp
@@ -192,6 +192,7 @@
 
 asio::awaitable<AttemptOutcome> ForwardedRequest::relayEvents(HttpStream &Response) {
   EventSplitter Events;
+  m_Sequence.beginAttempt();
   const std::optional<std::uint64_t> ResumedAfter = m_Sequence.last();
   const UpstreamId Target = m_SentTo.back();
   TimePoint LastDataAt = m_Dependencies.m_Clock();
