--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -35,7 +35,8 @@
   Impl(asio::io_context &Context, GatewaySettings Loaded)
       : m_Context(Context), m_Settings(std::move(Loaded)), m_Clock(systemClock()),
         m_Log(m_Clock, systemWallClock(), standardOutput(), MaxLogLinesPerSecond), m_Metrics(m_Clock),
-        m_Translation(platformMessageTranslation()), m_UpstreamClient(Context, "call upstream"),
+        m_Translation(platformMessageTranslation(systemWallClock())),
+        m_UpstreamClient(Context, "call upstream"),
         m_Store(Context, endpointOf(m_Settings.m_Store), m_Clock,
                 [this](std::string_view Key, const Error &Cause) { logIgnoredRecord(Key, Cause); }),
         m_State(m_Settings), m_DrainTicker(
--- a/packages/daemon/tests/group/upstream_notices_test.cpp
+++ b/packages/daemon/tests/group/upstream_notices_test.cpp
@@ -199,3 +199,28 @@
   send(seconds(1), 60.0);
   CHECK(Leaving.m_Arrivals.size() > Before);
 }
+
+// Guards against an upstream without room that each daemon asks again and again.
+TEST_CASE_FIXTURE(Fixture, "an upstream that turns a request away for some seconds gets none in that time") {
+  constexpr seconds Pause{3};
+  start(4, 2);
+  NoticingUpstream &Pausing = *m_Upstreams.front();
+  Pausing.m_Status = 503;
+  Pausing.m_Notices.add("Retry-After", std::to_string(Pause.count()));
+  send(Pause - milliseconds(300), 80.0);
+  std::map<std::string, int> During;
+  for (const NoticingUpstream::Arrival &Each : Pausing.m_Arrivals)
+    if (Each.m_At >= Pausing.m_ToldAt.at(Each.m_Daemon) + NoticeTime &&
+        Each.m_At < Pausing.m_ToldAt.at(Each.m_Daemon) + Pause)
+      ++During[Each.m_Daemon];
+  for (const std::pair<const std::string, int> &Each : During)
+    CHECK(Each.second <= 2);
+  CHECK(Pausing.m_ToldAt.size() == 4);
+  CHECK(responsesWith(200) == m_Responses.size());
+  Pausing.m_Status = 200;
+  Pausing.m_Notices = HttpHeaders();
+  const std::size_t Before = Pausing.m_Arrivals.size();
+  m_Daemons.runFor(milliseconds(800));
+  send(seconds(1), 80.0);
+  CHECK(Pausing.m_Arrivals.size() > Before);
+}
--- a/packages/forward/include/bulrushpitch/forward/placement.h
+++ b/packages/forward/include/bulrushpitch/forward/placement.h
@@ -61,7 +61,7 @@
 enum class PlacementRejection : std::uint8_t {
   NoUpstream, ///< No registered upstream is allowed for the request.
   AllCold,    ///< The allowed upstreams that were not tried are cold and at their rate limits.
-  AllLimited, ///< Those that are not, have named limits that this daemon's share of is used up.
+  AllLimited, ///< Those that are not, have named limits or asked for pauses.
   AllTried    ///< The request was already sent to all allowed upstreams.
 };
 
@@ -73,7 +73,7 @@
   PooledUpstream *m_Upstream = nullptr;                            ///< Null if no upstream is available.
   PlacementRejection m_Rejection = PlacementRejection::NoUpstream; ///< Only meaningful if m_Upstream is null.
   std::string_view m_Method;                                       ///< How it was chosen, for logs.
-  /// When an upstream that is at its limit can take a request of this daemon; nothing if that is not known.
+  /// When an upstream that is at its limit or paused takes a request of this daemon; nothing if not known.
   std::optional<TimePoint> m_RetryAt;
 };
 
--- a/packages/forward/include/bulrushpitch/forward/upstream_notices.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_notices.h
@@ -18,6 +18,8 @@
   std::optional<double> m_RequestLimit;
   bool m_LimitUnreadable = false; ///< It names a limit that can't be read; what is known of it stays.
   bool m_Leaving = false;         ///< It is about to end.
+  /// For so long it wants no request of this daemon.
+  std::optional<Duration> m_Pause;
 };
 
 /// @brief Requests that each daemon may send to an upstream that has named a limit.
@@ -52,9 +54,12 @@
   bool isLeaving(const RegisteredUpstream &Upstream) const;
   /// @return the limit that the upstream names; nothing if it names none
   std::optional<double> requestLimit(const RegisteredUpstream &Upstream) const;
-  /// @return when this daemon may send the next request to the upstream; nothing if its share is zero
+  /// @return when this daemon may send the next request to the upstream: after the pause that it asked for,
+  /// and within the share of its limit; nothing if the share is zero
   std::optional<TimePoint> nextRequestAt(const RegisteredUpstream &Upstream,
                                          const NamedLimitShare &Share) const;
+  /// @return the end of the pause that the upstream asked for; in the past if there is none
+  TimePoint pausedUntil(const RegisteredUpstream &Upstream) const;
   /// @brief Counts a request against this daemon's share of the limit, if the upstream names one.
   void countRequest(const RegisteredUpstream &Upstream, const NamedLimitShare &Share, TimePoint Now);
 
@@ -68,6 +73,7 @@
     TimePoint m_LimitNamedAt{}; ///< When an answer last named a limit.
     RateLimiter m_RateLimiter;
     bool m_Leaving = false;
+    TimePoint m_PausedUntil{};
   };
 
   const Known *find(const RegisteredUpstream &Upstream) const;
@@ -75,6 +81,8 @@
   bool recordLimit(const RegisteredUpstream &Upstream, const UpstreamNotice &Notice, TimePoint SentAt,
                    TimePoint Now);
   bool recordLeaving(const RegisteredUpstream &Upstream, TimePoint Now);
+  /// @return whether the upstream was not paused before
+  bool recordPause(const RegisteredUpstream &Upstream, Duration Pause, TimePoint Now);
   /// @return what is known of the upstream; made if there is nothing
   Known &entryOf(const RegisteredUpstream &Upstream, TimePoint Now);
   void forgetOldest();
--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -68,12 +68,12 @@
   return {daemonCount(Context), daemonRank(Key, Context)};
 }
 
-/// @return when this daemon may send a request to an upstream that names a limit; nothing if its share is
-/// zero
-std::optional<TimePoint> namedLimitAdmitsAt(const UpstreamPool &Pool, const PooledUpstream &Candidate,
-                                            const PlacementContext &Context) {
+/// @return when the upstream takes a request of this daemon, by what it said in its answers; nothing if this
+/// daemon has no share of what it takes
+std::optional<TimePoint> noticesAdmitAt(const UpstreamPool &Pool, const PooledUpstream &Candidate,
+                                        const PlacementContext &Context) {
   if (!Pool.notices().requestLimit(Candidate.m_Entry))
-    return TimePoint{};
+    return Pool.notices().pausedUntil(Candidate.m_Entry);
   return Pool.notices().nextRequestAt(Candidate.m_Entry, ownLimitShare(Candidate, Context));
 }
 
@@ -198,7 +198,7 @@
   case PlacementRejection::AllCold:
     return "all upstreams are cold";
   case PlacementRejection::AllLimited:
-    return "all upstreams are at their limits";
+    return "all upstreams are at their limits or paused";
   case PlacementRejection::AllTried:
     return "all upstreams were tried";
   }
@@ -221,7 +221,7 @@
       Rejection = PlacementRejection::AllCold;
       continue;
     }
-    const std::optional<TimePoint> AdmitsAt = namedLimitAdmitsAt(Pool, *Candidate, Context);
+    const std::optional<TimePoint> AdmitsAt = noticesAdmitAt(Pool, *Candidate, Context);
     if (AdmitsAt && Now >= *AdmitsAt) {
       Candidates.push_back(Candidate);
       continue;
--- a/packages/forward/src/upstream_notices.cpp
+++ b/packages/forward/src/upstream_notices.cpp
@@ -16,6 +16,8 @@
 constexpr double ToleratedSlack = 5.0;
 /// A limit beyond this never binds.
 constexpr double MaxRequestsPerWindow = 1e6;
+/// A longer pause is taken for an error, after which one request asks again.
+constexpr Duration MaxPause = std::chrono::minutes(10);
 /// Far more than there are upstreams.
 constexpr std::size_t MaxKnown = 4096;
 
@@ -68,7 +70,15 @@
     return false; // A late answer of an earlier incarnation.
   const bool LimitChanged = recordLimit(Upstream, Notice, SentAt, Now);
   const bool LeavingChanged = Notice.m_Leaving && recordLeaving(Upstream, Now);
-  return LimitChanged || LeavingChanged;
+  const bool PauseBegun = Notice.m_Pause && recordPause(Upstream, *Notice.m_Pause, Now);
+  return LimitChanged || LeavingChanged || PauseBegun;
+}
+
+bool UpstreamNotices::recordPause(const RegisteredUpstream &Upstream, Duration Pause, TimePoint Now) {
+  Known &Entry = entryOf(Upstream, Now);
+  const bool WasPaused = Now < Entry.m_PausedUntil;
+  Entry.m_PausedUntil = std::max(Entry.m_PausedUntil, Now + std::min(Pause, MaxPause));
+  return !WasPaused;
 }
 
 bool UpstreamNotices::recordLeaving(const RegisteredUpstream &Upstream, TimePoint Now) {
@@ -107,9 +117,18 @@
 std::optional<TimePoint> UpstreamNotices::nextRequestAt(const RegisteredUpstream &Upstream,
                                                         const NamedLimitShare &Share) const {
   const Known *Entry = find(Upstream);
-  if (!Entry || !Entry->m_RequestLimit)
+  if (!Entry)
     return TimePoint{};
-  return Entry->m_RateLimiter.nextAt({shareOfNamedLimit(*Entry->m_RequestLimit, Share), LimitWindow});
+  if (!Entry->m_RequestLimit)
+    return Entry->m_PausedUntil;
+  const std::optional<TimePoint> WithinLimit =
+      Entry->m_RateLimiter.nextAt({shareOfNamedLimit(*Entry->m_RequestLimit, Share), LimitWindow});
+  return WithinLimit ? std::max(*WithinLimit, Entry->m_PausedUntil) : WithinLimit;
+}
+
+TimePoint UpstreamNotices::pausedUntil(const RegisteredUpstream &Upstream) const {
+  const Known *Entry = find(Upstream);
+  return Entry ? Entry->m_PausedUntil : TimePoint{};
 }
 
 void UpstreamNotices::countRequest(const RegisteredUpstream &Upstream, const NamedLimitShare &Share,
--- a/packages/forward/tests/upstream_notices_test.cpp
+++ b/packages/forward/tests/upstream_notices_test.cpp
@@ -227,3 +227,21 @@
   CHECK(Notices.isLeaving(upstreamOf(5)));
   CHECK_FALSE(Notices.isLeaving(upstreamOf(6)));
 }
+
+TEST_CASE("a pause ends after the longest time that was asked for, and has an upper limit") {
+  UpstreamNotices Notices;
+  UpstreamNotice Pausing;
+  Pausing.m_Pause = seconds(3);
+  CHECK(Notices.record(upstreamOf(5), Pausing, at(milliseconds(0)), at(milliseconds(0))));
+  CHECK(Notices.pausedUntil(upstreamOf(5)) == at(seconds(3)));
+  Pausing.m_Pause = seconds(1);
+  CHECK_FALSE(Notices.record(upstreamOf(5), Pausing, at(seconds(1)), at(seconds(1))));
+  CHECK(Notices.pausedUntil(upstreamOf(5)) == at(seconds(3)));
+  // An answer without a pause, to a request from before it.
+  Notices.record(upstreamOf(5), {}, at(milliseconds(0)), at(seconds(2)));
+  CHECK(Notices.pausedUntil(upstreamOf(5)) == at(seconds(3)));
+  Pausing.m_Pause = std::chrono::hours(24);
+  Notices.record(upstreamOf(5), Pausing, at(seconds(2)), at(seconds(2)));
+  CHECK(Notices.pausedUntil(upstreamOf(5)) <= at(seconds(602)));
+  CHECK(Notices.pausedUntil(upstreamOf(6)) <= at(milliseconds(0)));
+}
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -342,10 +342,13 @@
   if (!Notices.record(m_AttemptUpstream, Notice, m_SentAt, m_Dependencies.m_Clock()))
     return;
   const std::optional<double> Limit = Notices.requestLimit(m_AttemptUpstream);
+  const Duration Pause =
+      std::max(Duration::zero(), Notices.pausedUntil(m_AttemptUpstream) - m_Dependencies.m_Clock());
   m_Dependencies.m_Log.add(LogClass::State, "upstream_notice",
                            {{"upstream", std::string_view(m_AttemptUpstream.m_Id.value())},
                             {"born", m_AttemptUpstream.m_StartedAt},
                             {"leaving", static_cast<std::int64_t>(Notices.isLeaving(m_AttemptUpstream))},
+                            {"pause_ms", std::chrono::duration<double, std::milli>(Pause).count()},
                             {"limited", static_cast<std::int64_t>(Limit.has_value())},
                             {"requests_per_second", Limit.value_or(0.0)}});
 }
--- a/packages/gateway/tests/forwarder_fixture.h
+++ b/packages/gateway/tests/forwarder_fixture.h
@@ -60,6 +60,8 @@
       Head.m_Confidence = std::stoi(std::string(*Text));
     if (const std::optional<std::string_view> Text = Headers.find("limit"))
       Head.m_Notice.m_RequestLimit = std::stod(std::string(*Text));
+    if (const std::optional<std::string_view> Text = Headers.find("pause-ms"))
+      Head.m_Notice.m_Pause = std::chrono::milliseconds(std::stoi(std::string(*Text)));
     Head.m_Notice.m_Leaving = Headers.find("leaving").has_value();
     Head.m_WrongAddress = Headers.find("wrong-address").has_value();
     return Head;
--- a/packages/gateway/tests/upstream_notice_test.cpp
+++ b/packages/gateway/tests/upstream_notice_test.cpp
@@ -29,7 +29,7 @@
   CHECK(std::stod(std::string(*RetryAfter)) <= 2.0);
   m_Log->flush();
   CHECK(m_LogText.find("\"event\":\"upstream_notice\",\"upstream\":\"u1\"") != std::string::npos);
-  CHECK(m_LogText.find("all upstreams are at their limits") != std::string::npos);
+  CHECK(m_LogText.find("all upstreams are at their limits or paused") != std::string::npos);
 }
 
 TEST_CASE_FIXTURE(Fixture, "requests beyond an upstream's limit go to the others") {
@@ -146,3 +146,32 @@
   CHECK(send(request()).m_Body == "answer");
   CHECK(Upstream.requests().size() == 2);
 }
+
+// Guards against an upstream without room that is asked again and again.
+TEST_CASE_FIXTURE(Fixture, "an upstream that asks for a pause gets no request until its end") {
+  configure(RequestKind::Idempotent, 3);
+  ScriptedUpstream &Pausing = add([](const std::string &, int Number) {
+    if (Number == 1)
+      return ScriptedReply{makeResponse("", "not-run: 1\r\npause-ms: 1500\r\n", 503)};
+    return ScriptedReply{makeResponse("paused")};
+  });
+  SUBCASE("while others serve") {
+    add(alwaysReply({makeResponse("other")}));
+    for (int Number = 0; Number < 5; ++Number)
+      CHECK(send(request()).m_Body == "other");
+  }
+  // Guards against callers that wait for an upstream that wants nothing for seconds.
+  SUBCASE("while there is no other one, requests are rejected at once") {
+    for (int Number = 0; Number < 5; ++Number) {
+      const TimePoint Start = systemClock()();
+      const ReceivedResponse Rejected = send(request());
+      CHECK(systemClock()() - Start < milliseconds(200));
+      CHECK(Rejected.m_Status == 503);
+      REQUIRE(Rejected.m_Headers.find("Retry-After"));
+      CHECK(std::stod(std::string(*Rejected.m_Headers.find("Retry-After"))) <= 1.5);
+    }
+  }
+  CHECK(Pausing.requests().size() == 1);
+  runFor(milliseconds(1600));
+  CHECK(send(request()).m_Body == "paused");
+}
