--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -56,6 +56,7 @@
   bool m_Signed = false;           ///< It has the upstream's signature, and its body is unencoded.
   bool m_NotRun = false;           ///< The upstream states that it did not run the request.
   bool m_WrongAddress = false;     ///< Another upstream has this address now; it did not run the request.
+  bool m_NamesAttempt = false;     ///< It has the id of the request that it belongs to.
   std::optional<int> m_Confidence; ///< The model's confidence in its answer, 0 to 100.
   UpstreamNotice m_Notice;         ///< What the upstream says of itself.
 };
--- a/packages/gateway/src/relayed_response.cpp
+++ b/packages/gateway/src/relayed_response.cpp
@@ -35,6 +35,10 @@
 asio::awaitable<AttemptOutcome> ForwardedRequest::handleResponse(HttpStream &Response) {
   const ResponseHead Head =
       m_Dependencies.m_Translation.m_ReadResponseHead(Response.status(), Response.headers());
+  // It may be an earlier refusal, written once more: then this request may run.
+  const bool SaysNotRun = Head.m_WrongAddress || Head.m_NotRun;
+  if (SaysNotRun && !Head.m_NamesAttempt && Response.onReusedConnection())
+    co_return AttemptOutcome::Broken;
   if (Head.m_WrongAddress)
     co_return AttemptOutcome::WrongAddress;
   recordNotice(Head.m_Notice);
--- a/packages/gateway/tests/forwarder_fixture.h
+++ b/packages/gateway/tests/forwarder_fixture.h
@@ -56,6 +56,7 @@
     ResponseHead Head;
     Head.m_Signed = Headers.find("signed").has_value();
     Head.m_NotRun = Headers.find("not-run").has_value();
+    Head.m_NamesAttempt = Headers.find("id").has_value();
     if (const std::optional<std::string_view> Text = Headers.find("confidence"))
       Head.m_Confidence = std::stoi(std::string(*Text));
     if (const std::optional<std::string_view> Text = Headers.find("limit"))
--- a/packages/gateway/tests/scripted_upstream.h
+++ b/packages/gateway/tests/scripted_upstream.h
@@ -44,6 +44,8 @@
   const std::vector<std::string> &requests() const { return m_State->m_Requests; }
   /// @return number of connections closed by the peer
   int closedByPeer() const { return m_State->m_ClosedByPeer; }
+  /// @return number of connections accepted
+  int connections() const { return m_State->m_Connections; }
 
 private:
   using Socket = boost::asio::ip::tcp::socket;
@@ -52,6 +54,7 @@
     Script m_Script;
     std::vector<std::string> m_Requests;
     int m_ClosedByPeer = 0;
+    int m_Connections = 0;
   };
 
   static boost::asio::awaitable<void> accept(boost::asio::io_context &Context,
@@ -63,6 +66,7 @@
           co_await Acceptor.async_accept(boost::asio::redirect_error(boost::asio::use_awaitable, Code));
       if (Code)
         co_return;
+      ++Shared->m_Connections;
       spawn(Context, serve(Context, std::move(Accepted), Shared));
     }
   }
--- a/packages/net/include/bulrushpitch/net/http_client.h
+++ b/packages/net/include/bulrushpitch/net/http_client.h
@@ -28,6 +28,8 @@
   /// @return whether the body has neither a length nor chunks: its end is that of the connection, as after a
   /// server that broke off
   virtual bool endsWithConnection() const = 0;
+  /// @return whether the connection had served other requests before, whose responses may come again
+  virtual bool onReusedConnection() const = 0;
   /// @brief Waits for more of the body.
   /// @param Timeout how long to wait at most; error 502 after that
   /// @return some bytes, or nothing at the body's end; error 506 if the connection breaks before the end
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -55,7 +55,7 @@
   detail::Watched m_Watched;
   boost::beast::flat_buffer m_Buffer{MaxUnparsedBytes};
   std::optional<detail::WatchGuard> m_IdleGuard; ///< Set while the connection is idle.
-  std::uint64_t m_Uses = 0;                      ///< Tells the handler of an earlier idle time apart.
+  std::uint64_t m_Uses = 0;                      ///< How often it was taken from the idle ones.
   bool m_RequestSent = false;                    ///< Whether the whole request has left.
 
   /// @return whether the peer has neither closed the connection nor sent anything unasked
@@ -159,8 +159,8 @@
     Removed->m_Watched.m_Socket.cancel(Ignored);
   }
 
-  asio::awaitable<Expected<std::shared_ptr<Connection>>> connect(const Endpoint &Peer, Duration Timeout,
-                                                                 const std::shared_ptr<CallHandle> &Handle) {
+  asio::awaitable<Expected<std::shared_ptr<Connection>>> connect(const Endpoint &Peer,
+                                                                 const CallOptions &Options) {
     if (std::shared_ptr<Connection> Idle = takeIdle(Peer))
       co_return Idle;
     std::shared_ptr<Connection> Fresh = std::make_shared<Connection>(m_Context);
@@ -169,9 +169,9 @@
     if (Code)
       co_return error(ErrorCode::UpstreamConnect, Peer, Ran::No, "the address is not an IP number");
     const detail::WatchGuard Guard(m_Sweeper, Fresh->m_Watched);
-    if (Handle)
-      Handle->onCancel([Fresh] { closeNow(*Fresh); });
-    Fresh->m_Watched.arm(Timeout);
+    if (Options.m_Handle)
+      Options.m_Handle->onCancel([Fresh] { closeNow(*Fresh); });
+    Fresh->m_Watched.arm(Options.m_ConnectTimeout);
     const asio::ip::tcp::endpoint Target(Address, Peer.m_Port);
     co_await Fresh->m_Watched.m_Socket.async_connect(Target, asio::redirect_error(asio::use_awaitable, Code));
     Fresh->m_Watched.disarm();
@@ -267,6 +267,7 @@
   unsigned status() const override { return m_Parser->get().result_int(); }
   const HttpHeaders &headers() const override { return m_Headers; }
   bool endsWithConnection() const override { return m_Parser->need_eof(); }
+  bool onReusedConnection() const override { return m_Connection->m_Uses > 0; }
 
   asio::awaitable<Expected<std::optional<std::string>>> read(Duration Timeout) override {
     m_Connection->m_Watched.arm(Timeout);
@@ -404,7 +405,7 @@
   const std::shared_ptr<CallHandle> Handle = Options.m_Handle;
   if (Handle && Handle->cancelled())
     co_return error(ErrorCode::UpstreamConnect, Peer, Ran::No, "the call was cancelled before it began");
-  Expected<std::shared_ptr<Connection>> Used = co_await connect(Peer, Options.m_ConnectTimeout, Handle);
+  Expected<std::shared_ptr<Connection>> Used = co_await connect(Peer, Options);
   if (!Used)
     co_return Used.error();
   if (Handle && Handle->cancelled())
