forward: a daemon that hears from no other one turns to the store at once (CONFIG)

Found by reading: the daemons of a region turn to the store one after the other, 250 ms apart, so that a full link is not filled further. One that is cut off from all other daemons, but not from the store, waited for its turn too: the last of 33 for nine seconds, more than a configuration may take. Now only daemons that still hear from others wait; the rest turns to the store within half a second after the orders have been unconfirmed for two.

--- a/packages/forward/include/bulrushpitch/forward/order_sources.h
+++ b/packages/forward/include/bulrushpitch/forward/order_sources.h
@@ -28,7 +28,8 @@
 ///
 /// While its orders have not been confirmed for some time, a daemon turns to the store itself. The daemons of
 /// a region do so one after the other in the common order, so that a link that is already full is not filled
-/// with the calls of all of them; the rest follows the first one that succeeds.
+/// with the calls of all of them; the rest follows the first one that succeeds. A daemon that hears from no
+/// other one does not wait for its turn: it alone may be cut off from them.
 ///
 /// Answers load: large configurations, and many changes, times the number of daemons behind one link. Few
 /// daemons all read the store. Not thread-safe.
@@ -51,7 +52,7 @@
   void onFailed(const InstanceId &Daemon, TimePoint Now);
   /// @brief Records that a daemon answered, but has no recent confirmation itself.
   void onStale(const InstanceId &Daemon, TimePoint Now);
-  void onAnswered(const InstanceId &Daemon);
+  void onAnswered(const InstanceId &Daemon, TimePoint Now);
   /// @return whether orders of this age may lack changes that must be in force soon
   static bool isStale(Duration Age);
   /// @brief Decides whether the orders have to be read from the store now. A daemon that turned to it goes on
@@ -74,6 +75,9 @@
   /// @return whether this daemon always reads the orders from the store
   bool readsStore(TimePoint Now) const;
   bool knowsDaemonNearStore() const;
+  /// @return how long this daemon leaves the store to those before it
+  Duration pauseByRank(TimePoint Now) const;
+  Duration pauseByHash() const;
   std::size_t daemonsInRegion() const;
 
   InstanceId m_Self;
@@ -84,6 +88,7 @@
   std::map<InstanceId, Failure> m_Failures;
   std::map<InstanceId, TimePoint> m_StaleUntil; ///< Daemons that are not confirmed themselves.
   TimePoint m_UsesStoreUntil{};
+  std::optional<TimePoint> m_HeardAt; ///< When any daemon last answered.
 };
 
 } // namespace bulrushpitch
--- a/packages/forward/src/order_sources.cpp
+++ b/packages/forward/src/order_sources.cpp
@@ -21,6 +21,8 @@
 /// So many daemons of a region may turn to the store at that age; each further one later than the one before.
 constexpr std::size_t FirstAtStore = 4;
 constexpr Duration StorePausePerRank = milliseconds(250);
+/// Spreads the calls of daemons that all lost the ones they followed.
+constexpr Duration MaxStorePause = milliseconds(500);
 /// How long a daemon that turned to the store goes on with it.
 constexpr Duration StoreUseTime = milliseconds(10'000);
 constexpr Duration MinPassOver = milliseconds(1000);
@@ -110,9 +112,11 @@
 void OrderSources::onStale(const InstanceId &Daemon, TimePoint Now) {
   m_Failures.erase(Daemon);
   m_StaleUntil[Daemon] = Now + StalePassOver;
+  m_HeardAt = Now;
 }
 
-void OrderSources::onAnswered(const InstanceId &Daemon) {
+void OrderSources::onAnswered(const InstanceId &Daemon, TimePoint Now) {
+  m_HeardAt = Now;
   m_Failures.erase(Daemon);
   m_StaleUntil.erase(Daemon);
 }
@@ -122,15 +126,23 @@
 bool OrderSources::needsStore(Duration Age, TimePoint Now) {
   if (readsStore(Now))
     return true;
-  const std::size_t Rank = precedingInRegion(Now).size();
-  const std::size_t Before = Rank - std::min(Rank, FirstAtStore - 1);
-  if (Age >= MaxConfirmedAge + StorePausePerRank * Before)
+  const bool HearsOthers = m_HeardAt && Now - *m_HeardAt < MaxConfirmedAge;
+  if (Age >= MaxConfirmedAge + (HearsOthers ? pauseByRank(Now) : pauseByHash()))
     m_UsesStoreUntil = Now + StoreUseTime;
   return Now < m_UsesStoreUntil;
 }
 
 bool OrderSources::hasRelays() const { return m_Others.size() + 1 >= MinDaemonsForRelays; }
 
+Duration OrderSources::pauseByRank(TimePoint Now) const {
+  const std::size_t Rank = precedingInRegion(Now).size();
+  return StorePausePerRank * (Rank - std::min(Rank, FirstAtStore - 1));
+}
+
+Duration OrderSources::pauseByHash() const {
+  return Duration(stableHash(m_Self.value()) % static_cast<std::uint64_t>(MaxStorePause.count()));
+}
+
 bool OrderSources::readsStore(TimePoint Now) const {
   if (!hasRelays())
     return true;
--- a/packages/forward/tests/order_sources_test.cpp
+++ b/packages/forward/tests/order_sources_test.cpp
@@ -135,7 +135,7 @@
     Sources.onFailed(Relay, at(milliseconds(0)));
   for (const ListedDaemon &Followed : Sources.followed(at(seconds(15))))
     CHECK(Followed.m_Id != Relay);
-  Sources.onAnswered(Relay);
+  Sources.onAnswered(Relay, at(seconds(15)));
   CHECK(Sources.followed(at(seconds(15))).front().m_Id == Relay);
 }
 
@@ -157,9 +157,12 @@
   const std::vector<ListedDaemon> Daemons = fleet(33, 33);
   const auto AtStore = [&](milliseconds Age) {
     std::size_t Count = 0;
-    for (const ListedDaemon &Self : Daemons)
+    for (const ListedDaemon &Self : Daemons) {
+      OrderSources Sources = sourcesOf(Self, Daemons);
+      Sources.onAnswered(Daemons.front().m_Id, at(milliseconds(0)));
       if (!Self.m_Contact->m_NearStore)
-        Count += sourcesOf(Self, Daemons).needsStore(Age, at(milliseconds(0))) ? 1 : 0;
+        Count += Sources.needsStore(Age, at(milliseconds(0))) ? 1 : 0;
+    }
     return Count;
   };
   CHECK(AtStore(milliseconds(1900)) == 0);
@@ -173,6 +176,19 @@
   CHECK_FALSE(Sources.needsStore(milliseconds(0), at(seconds(11))));
 }
 
+// Guards against a daemon that reaches the store but no other daemon, and waits for others to turn to it.
+TEST_CASE("a daemon that hears from no other one turns to the store without waiting for its turn") {
+  const std::vector<ListedDaemon> Daemons = fleet(33, 33);
+  for (const ListedDaemon &Self : Daemons) {
+    OrderSources Sources = sourcesOf(Self, Daemons);
+    if (Sources.needsStore(milliseconds(0), at(milliseconds(0))))
+      continue;
+    Sources.onAnswered(Daemons.front().m_Id, at(milliseconds(0)));
+    CHECK_FALSE(Sources.needsStore(milliseconds(1900), at(milliseconds(2000))));
+    CHECK(Sources.needsStore(milliseconds(2500), at(milliseconds(2600))));
+  }
+}
+
 // Guards against a region whose relays are alive but cut off from the store.
 TEST_CASE("a daemon that is not confirmed itself is not followed for a while") {
   const std::vector<ListedDaemon> Daemons = fleet(12, 12);
--- a/packages/gateway/src/order_follower.cpp
+++ b/packages/gateway/src/order_follower.cpp
@@ -88,7 +88,7 @@
   if (OrderSources::isStale(Age))
     m_Sources.onStale(Relay.m_Id, Now);
   else
-    m_Sources.onAnswered(Relay.m_Id);
+    m_Sources.onAnswered(Relay.m_Id, Now);
 }
 
 void OrderFollower::onFailed(const ListedDaemon &Relay, const Error &Failure) {
