--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -105,10 +105,7 @@
       return control().answerOrderWatch(std::move(Held));
     };
     m_PeerServer.emplace(m_Context, endpointOf(*m_Settings.m_Listen.m_Peers), std::move(Handler));
-    const Expected<Done> Started = capture([this]() -> Result<Done> {
-      BOOST_LEAF_CHECK(m_PeerServer->start());
-      return Done{};
-    });
+    const Expected<Done> Started = capture([this] { return m_PeerServer->start(); });
     if (!Started) {
       // The daemon serves requests without it, and others are relayed to by their peers.
       const std::string Text = Started.error().toString();
