--- a/packages/forward/tests/order_sources_test.cpp
+++ b/packages/forward/tests/order_sources_test.cpp
@@ -24,7 +24,7 @@
 /// Near daemons in the region "west", far ones in "hill"; every third one has a narrow link.
 std::vector<ListedDaemon> fleet(int Near, int Far) {
   std::vector<ListedDaemon> Daemons;
-  Daemons.reserve(static_cast<std::size_t>(Near + Far));
+  Daemons.reserve(static_cast<std::size_t>(Near) + static_cast<std::size_t>(Far));
   for (int Number = 0; Number < Near; ++Number)
     Daemons.push_back(daemonOf("west", Number, true, Number % 3 != 0));
   for (int Number = 0; Number < Far; ++Number)
