--- a/packages/forward/include/bulrushpitch/forward/upstream_pool.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_pool.h
@@ -97,9 +97,8 @@
   /// @return whether the domain seems unreachable: several connections to it have failed since any of its
   /// upstreams sent something, the last one recently
   bool domainUnreachable(const DomainId &Domain, TimePoint Now) const;
-  /// @return whether the upstream seems to have stopped: it is no longer registered, or a connection to it
-  /// failed recently and it has sent nothing since
-  bool seemsStopped(const UpstreamId &Id, TimePoint Now) const;
+  /// @return whether a connection to the upstream failed at the time or later, and it has sent nothing since
+  bool unreachableSince(const UpstreamId &Id, TimePoint Time) const;
   /// @brief Records the end of an attempt in the upstream's load and health.
   void onEnded(const UpstreamId &Id, AttemptOutcome Outcome, TimePoint Now);
   /// @}
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -26,8 +26,6 @@
 constexpr std::size_t MaxDepartures = 1024;
 constexpr double EventGapWeight = 0.1; ///< Weight of the newest gap in the average.
 constexpr Duration EventGapDecayTime = milliseconds(3000);
-/// How long after a failed connection the upstream counts as stopped.
-constexpr Duration StoppedDuration = milliseconds(5000);
 /// Consecutive failed connections after which a domain counts as unreachable, and how long it is avoided
 /// after the last one.
 constexpr std::uint32_t DomainFailureLimit = 3;
@@ -242,10 +240,10 @@
          Now - Found->second.m_LastAt < DomainAvoidanceDuration;
 }
 
-bool UpstreamPool::seemsStopped(const UpstreamId &Id, TimePoint Now) const {
+bool UpstreamPool::unreachableSince(const UpstreamId &Id, TimePoint Time) const {
   const auto Found = m_Upstreams.find(Id);
-  return Found == m_Upstreams.end() || (Found->second.m_LastFailedConnectionAt != TimePoint{} &&
-                                        Now - Found->second.m_LastFailedConnectionAt < StoppedDuration);
+  return Found != m_Upstreams.end() && Found->second.m_LastFailedConnectionAt != TimePoint{} &&
+         Found->second.m_LastFailedConnectionAt >= Time;
 }
 
 void UpstreamPool::onEnded(const UpstreamId &Id, AttemptOutcome Outcome, TimePoint Now) {
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -206,7 +206,6 @@
   HttpRequest Outgoing = m_Dependencies.m_Translation.m_ToUpstream(m_Request, upstreamCall(Target));
   m_AttemptUpstream = Target.m_Entry;
   m_AttemptRegion = Target.m_Region;
-  m_SentTo.push_back(Id);
   CallOptions Options = callOptions(Id);
   m_AttemptModelIndex = m_ModelIndex;
   m_AttemptError.reset();
@@ -214,6 +213,7 @@
   m_AnswerBegun = false;
   m_Confidence = 0;
   m_SentAt = m_Dependencies.m_Clock();
+  m_Sent.push_back({Id, m_SentAt});
   m_HeadLatency = Duration::zero();
   const ModelId Model = chosenModel().value_or(ModelId());
   m_PendingPrefill = m_Dependencies.m_State.m_PrefillTime.expected(Model, m_Caller.m_PromptTokens);
@@ -246,9 +246,11 @@
   releasePendingPrefill(Target);
   m_Dependencies.m_State.m_Pool.onEnded(Target, Outcome, m_Dependencies.m_Clock());
   m_Handle.reset();
+  m_Sent.back().m_Broke = Outcome == AttemptOutcome::Broken;
+  m_Sent.back().m_EndedBeforeRemoval = m_Dependencies.m_State.m_Pool.registered(Target);
   if (Outcome == AttemptOutcome::NotSent) {
     ++m_FailedConnections;
-    m_SentTo.pop_back();
+    m_Sent.pop_back();
   }
   if (!certainlyNotRun(Outcome))
     m_MayHaveRun = true;
@@ -384,7 +386,7 @@
        {"placement", foundNoUpstream() ? nameOf(m_NoUpstreamReason) : std::string_view()},
        {"left_ms", std::chrono::duration<double, std::milli>(remainingTime()).count()},
        {"status", static_cast<std::int64_t>(Status)},
-       {"attempts", static_cast<std::int64_t>(m_SentTo.size())},
+       {"attempts", static_cast<std::int64_t>(m_Sent.size())},
        {"took_ms", DurationMs}});
   m_Dependencies.m_Metrics
       .counter("bulrushpitch_requests_total", "Requests that ended, by outcome.",
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -13,6 +13,16 @@
 
 namespace bulrushpitch::detail {
 
+/// @brief An attempt that may have reached its upstream.
+struct SentAttempt {
+  UpstreamId m_Upstream;
+  TimePoint m_SentAt{};
+  bool m_Broke = false; ///< The connection or the response broke off.
+  /// The attempt had ended before the upstream was removed from the registry. An upstream that is removed
+  /// while it works may be leaving, and goes on serving.
+  bool m_EndedBeforeRemoval = false;
+};
+
 /// @brief State of one forwarded request: its route, its attempts, and the stream events already relayed.
 class ForwardedRequest {
 public:
@@ -111,6 +121,7 @@
   void recordAttemptEnd(const UpstreamId &Target, const VersionId &Version, AttemptOutcome Outcome);
   /// @return number of attempts that count towards the limit; those whose upstream has since ended do not
   std::uint32_t countedAttempts() const;
+  bool countsTowardsLimit(const SentAttempt &Sent) const;
   /// @return how much longer to wait for the response head; zero gives up
   Duration headTimeoutExtension(const UpstreamId &Target);
   RetryState retryState() const;
@@ -140,7 +151,7 @@
   std::shared_ptr<CallHandle> m_Handle; ///< Of the current attempt.
   bool m_CallerGone = false;
   std::vector<UpstreamId> m_Tried;
-  std::vector<UpstreamId> m_SentTo; ///< One entry per attempt that may have reached its upstream.
+  std::vector<SentAttempt> m_Sent;
   /// Attempts at upstreams that can't be reached count as long as these are registered.
   bool m_CountsUnreachable = false;
   bool m_AnswerBegun = false;            ///< Whether data of the current attempt's answer has come.
--- a/packages/gateway/src/relayed_response.cpp
+++ b/packages/gateway/src/relayed_response.cpp
@@ -198,7 +198,7 @@
   EventSplitter Events;
   m_Sequence.beginAttempt();
   const std::optional<std::uint64_t> ResumedAfter = m_Sequence.last();
-  const UpstreamId Target = m_SentTo.back();
+  const UpstreamId Target = m_Sent.back().m_Upstream;
   TimePoint LastDataAt = m_Dependencies.m_Clock();
   while (true) {
     Expected<std::optional<std::string>> Part = co_await Response.read(silenceTimeout());
--- a/packages/gateway/src/request_retry.cpp
+++ b/packages/gateway/src/request_retry.cpp
@@ -50,12 +50,17 @@
 }
 
 std::uint32_t ForwardedRequest::countedAttempts() const {
-  const TimePoint Now = m_Dependencies.m_Clock();
+  return static_cast<std::uint32_t>(std::count_if(
+      m_Sent.begin(), m_Sent.end(), [this](const SentAttempt &Sent) { return countsTowardsLimit(Sent); }));
+}
+
+bool ForwardedRequest::countsTowardsLimit(const SentAttempt &Sent) const {
   const UpstreamPool &Pool = m_Dependencies.m_State.m_Pool;
-  return static_cast<std::uint32_t>(
-      std::count_if(m_SentTo.begin(), m_SentTo.end(), [&](const UpstreamId &Id) {
-        return m_CountsUnreachable ? Pool.registered(Id) : !Pool.seemsStopped(Id, Now);
-      }));
+  if (!Sent.m_EndedBeforeRemoval)
+    return true;
+  if (!Pool.registered(Sent.m_Upstream))
+    return false;
+  return m_CountsUnreachable || !Sent.m_Broke || !Pool.unreachableSince(Sent.m_Upstream, Sent.m_SentAt);
 }
 
 bool ForwardedRequest::couldRetryNow() {
