gateway: the registry is relayed as the orders are, by one mechanism for both

Change: a table that comes from the store or from relays (ReplicatedTable) has a replica for others (OrderBook, RowReplica), which knows what another daemon lacks. One call asks a relay for all tables; the readers' long polls end together, so one message confirms all. control_service falls apart: StoreFeeds, OrderTable, UpstreamTable. Removals after an outage of the store keep their grace period at followers: relays say when the store came back. A relay without a confirmation holds its callers until the store fails it (before: sent them away at once, so that the callers of daemons which had just turned to the store filled the link; the check that it says so at once is replaced by two, of which one asks for the same of a relay that the store has failed). A relay answers within 1.5 s, before its callers take themselves for cut off. A whole table that can't be applied has its relay left alone for a while (a busy loop before), and what one call lacks is no longer forgotten by the other.

Tests: forward 179, rpc 19, gateway 170, config_distribution 4 of 4 runs, the new group test 4 of 4.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -90,8 +90,8 @@
             m_Clock,
             systemRandom(),
             [this](const ForwardConfig &Config) { entry().applyLimits(Config.m_Limits); },
-            [this](Endpoint Peer, PeerOrderWatch Held, Duration Timeout) {
-              return m_PeerClient.watchOrders(std::move(Peer), std::move(Held), Timeout);
+            [this](Endpoint Peer, PeerTableWatch Watch, Duration Timeout) {
+              return m_PeerClient.watchTables(std::move(Peer), std::move(Watch), Timeout);
             },
             listenForPeers()};
   }
@@ -101,8 +101,8 @@
     if (!m_Settings.m_Listen.m_Peers)
       return std::nullopt;
     PeerHandler Handler;
-    Handler.m_WatchOrders = [this](PeerOrderWatch Held) {
-      return control().answerOrderWatch(std::move(Held));
+    Handler.m_WatchTables = [this](PeerTableWatch Watch) {
+      return control().answerTableWatch(std::move(Watch));
     };
     m_PeerServer.emplace(m_Context, endpointOf(*m_Settings.m_Listen.m_Peers), std::move(Handler));
     const Expected<Done> Started = capture([this] { return m_PeerServer->start(); });
--- a/packages/daemon/tests/group/upstream_notices_test.cpp
+++ b/packages/daemon/tests/group/upstream_notices_test.cpp
@@ -224,3 +224,36 @@
   send(seconds(1), 80.0);
   CHECK(Pausing.m_Arrivals.size() > Before);
 }
+
+// Guards against requests to an upstream that has left, through daemons that follow others, and against calls
+// of the store by all of them.
+TEST_CASE_FIXTURE(Fixture, "many daemons learn from few of them in time that an upstream leaves") {
+  constexpr std::size_t Daemons = 16;
+  constexpr int MaxReaders = 2;
+  /// A third of the time within which a leaving upstream must stop getting requests; all of it, if daemons
+  /// freeze.
+  milliseconds TimeToStop{1000};
+  start(Daemons, 2);
+  m_Daemons.runFor(milliseconds(2500));
+  bool Frozen = false;
+  SUBCASE("while all daemons are well") {}
+  SUBCASE("while daemons freeze that relay the registry to others") { Frozen = true; }
+  const int CallsBefore = m_Store.calls("/rows-feed", "servers");
+  m_Daemons.runFor(seconds(4));
+  CHECK(m_Store.calls("/rows-feed", "servers") - CallsBefore <= MaxReaders * 5);
+  if (Frozen) {
+    TimeToStop = milliseconds(2900);
+    for (std::size_t Daemon = 0; Daemon < Daemons; Daemon += 4)
+      m_Daemons.freeze(Daemon);
+  }
+  m_Store.remove("servers", "u0");
+  m_Daemons.runFor(TimeToStop);
+  const std::size_t Before = m_Upstreams.front()->m_Arrivals.size();
+  for (int Round = 0; Round < 4; ++Round)
+    for (std::size_t Daemon = 0; Daemon < Daemons; ++Daemon)
+      if (!m_Daemons.frozen(Daemon))
+        sendOne(Daemon);
+  m_Daemons.runFor(milliseconds(500));
+  CHECK(m_Upstreams.front()->m_Arrivals.size() == Before);
+  CHECK(responsesWith(200) == m_Responses.size());
+}
--- a/packages/forward/include/bulrushpitch/forward/forward.h
+++ b/packages/forward/include/bulrushpitch/forward/forward.h
@@ -11,10 +11,10 @@
 #include "bulrushpitch/forward/event_splitter.h"    // IWYU pragma: export
 #include "bulrushpitch/forward/model_choice.h"      // IWYU pragma: export
 #include "bulrushpitch/forward/objects.h"           // IWYU pragma: export
-#include "bulrushpitch/forward/order_sources.h"
 #include "bulrushpitch/forward/out_of_service_domains.h"
-#include "bulrushpitch/forward/placement.h"        // IWYU pragma: export
-#include "bulrushpitch/forward/rate_limiter.h"     // IWYU pragma: export
+#include "bulrushpitch/forward/placement.h"    // IWYU pragma: export
+#include "bulrushpitch/forward/rate_limiter.h" // IWYU pragma: export
+#include "bulrushpitch/forward/relay_sources.h"
 #include "bulrushpitch/forward/upstream_notices.h" // IWYU pragma: export
 #include "bulrushpitch/forward/upstream_pool.h"    // IWYU pragma: export
 #include "bulrushpitch/forward/version_trial.h"    // IWYU pragma: export
--- a/packages/forward/include/bulrushpitch/forward/objects.h
+++ b/packages/forward/include/bulrushpitch/forward/objects.h
@@ -98,6 +98,7 @@
   bool m_Draining = false;
   Duration m_ColdPeriod{};      ///< Cold period, counted from the writing of the entry.
   std::int64_t m_StartedAt = 0; ///< Distinguishes restarts under the same id; 0 if not stated.
+  bool operator==(const RegisteredUpstream &) const = default;
 };
 
 /// @brief State of a service's version trial.
--- a/packages/forward/src/order_sources.cpp
+++ b/packages/forward/src/relay_sources.cpp
@@ -1,4 +1,4 @@
-#include "bulrushpitch/forward/order_sources.h"
+#include "bulrushpitch/forward/relay_sources.h"
 
 #include "bulrushpitch/core/hash.h"
 
@@ -15,8 +15,8 @@
 constexpr std::size_t MinDaemonsForRelays = 12;
 /// Followers of one relay, on average; each follows two.
 constexpr std::size_t FollowersPerRelay = 32;
-/// Orders that are older are read from the store. Relays confirm them about every 1.3 s, and a configuration
-/// must be in force within 3 s.
+/// A table that is older is read from the store. Relays confirm it about every 1.3 s, and a configuration
+/// must be in force, and a leaving upstream known, within 3 s.
 constexpr Duration MaxConfirmedAge = milliseconds(2000);
 /// So many daemons of a region may turn to the store at that age; each further one later than the one before.
 constexpr std::size_t FirstAtStore = 4;
@@ -42,10 +42,10 @@
   return keyOf(Daemon.m_Id, Daemon.m_Contact->m_NearStore, Daemon.m_Contact->m_WideLink);
 }
 
-/// @return number of daemons of a group that relay the orders to the others
+/// @return number of daemons of a group that relay the tables to the others
 std::size_t relayCount(std::size_t Daemons) {
   const std::size_t Needed = (Daemons + FollowersPerRelay - 1) / FollowersPerRelay;
-  return std::max(OrderSources::FollowedRelays, Needed);
+  return std::max(RelaySources::FollowedRelays, Needed);
 }
 
 /// Keeps the daemons that this one follows out of the relays, so that the followers spread over them.
@@ -56,7 +56,7 @@
   };
   std::sort(Relays.begin(), Relays.end(),
             [&](const ListedDaemon &Left, const ListedDaemon &Right) { return Score(Left) < Score(Right); });
-  Relays.resize(std::min(Relays.size(), OrderSources::FollowedRelays));
+  Relays.resize(std::min(Relays.size(), RelaySources::FollowedRelays));
   return Relays;
 }
 
@@ -67,10 +67,10 @@
 
 } // namespace
 
-OrderSources::OrderSources(InstanceId Self, RegionId Region, std::optional<DaemonContact> Contact)
+RelaySources::RelaySources(InstanceId Self, RegionId Region, std::optional<DaemonContact> Contact)
     : m_Self(std::move(Self)), m_Region(std::move(Region)), m_SelfWideLink(Contact && Contact->m_WideLink) {}
 
-void OrderSources::setDaemons(std::vector<ListedDaemon> Alive) {
+void RelaySources::setDaemons(std::vector<ListedDaemon> Alive) {
   std::erase_if(Alive,
                 [this](const ListedDaemon &Daemon) { return !Daemon.m_Contact || Daemon.m_Id == m_Self; });
   std::sort(Alive.begin(), Alive.end(),
@@ -84,7 +84,7 @@
   std::erase_if(m_StaleUntil, IsGone);
 }
 
-std::vector<ListedDaemon> OrderSources::followed(TimePoint Now) const {
+std::vector<ListedDaemon> RelaySources::followed(TimePoint Now) const {
   if (readsStore(Now))
     return {};
   std::vector<ListedDaemon> Preceding = precedingInRegion(Now);
@@ -102,64 +102,64 @@
   return chooseRelays(firstOf(std::move(Near), RelaysNearStore), m_Self);
 }
 
-void OrderSources::onFailed(const InstanceId &Daemon, TimePoint Now) {
+void RelaySources::onFailed(const InstanceId &Daemon, TimePoint Now) {
   Failure &Failed = m_Failures[Daemon];
   const Duration PassOver = MinPassOver * (1U << std::min(Failed.m_Count, MaxPassOverDoublings));
   Failed.m_PassedOverUntil = Now + std::min(PassOver, MaxPassOver);
   ++Failed.m_Count;
 }
 
-void OrderSources::onStale(const InstanceId &Daemon, TimePoint Now) {
+void RelaySources::onStale(const InstanceId &Daemon, TimePoint Now) {
   m_Failures.erase(Daemon);
   m_StaleUntil[Daemon] = Now + StalePassOver;
   m_HeardAt = Now;
 }
 
-void OrderSources::onAnswered(const InstanceId &Daemon, TimePoint Now) {
+void RelaySources::onAnswered(const InstanceId &Daemon, TimePoint Now) {
   m_HeardAt = Now;
   m_Failures.erase(Daemon);
   m_StaleUntil.erase(Daemon);
 }
 
-bool OrderSources::isStale(Duration Age) { return Age >= MaxConfirmedAge; }
+bool RelaySources::isStale(Duration Age) { return Age >= MaxConfirmedAge; }
 
-bool OrderSources::needsStore(Duration Age, TimePoint Now) {
+bool RelaySources::needsStore(RelayedTable Table, Duration Age, TimePoint Now) {
   if (readsStore(Now))
     return true;
   const bool HearsOthers = m_HeardAt && Now - *m_HeardAt < MaxConfirmedAge;
   if (Age >= MaxConfirmedAge + (HearsOthers ? pauseByRank(Now) : pauseByHash()))
-    m_UsesStoreUntil = Now + StoreUseTime;
-  return Now < m_UsesStoreUntil;
+    m_UsesStoreUntil[Table] = Now + StoreUseTime;
+  return Now < m_UsesStoreUntil[Table];
 }
 
-bool OrderSources::hasRelays() const { return m_Others.size() + 1 >= MinDaemonsForRelays; }
+bool RelaySources::hasRelays() const { return m_Others.size() + 1 >= MinDaemonsForRelays; }
 
-Duration OrderSources::pauseByRank(TimePoint Now) const {
+Duration RelaySources::pauseByRank(TimePoint Now) const {
   const std::size_t Rank = precedingInRegion(Now).size();
   return StorePausePerRank * (Rank - std::min(Rank, FirstAtStore - 1));
 }
 
-Duration OrderSources::pauseByHash() const {
+Duration RelaySources::pauseByHash() const {
   return Duration(stableHash(m_Self.value()) % static_cast<std::uint64_t>(MaxStorePause.count()));
 }
 
-bool OrderSources::readsStore(TimePoint Now) const {
+bool RelaySources::readsStore(TimePoint Now) const {
   if (!hasRelays())
     return true;
   return precedingInRegion(Now).size() < FollowedRelays && (m_SelfNearStore || !knowsDaemonNearStore());
 }
 
-bool OrderSources::hasFailed(const ListedDaemon &Daemon, TimePoint Now) const {
+bool RelaySources::hasFailed(const ListedDaemon &Daemon, TimePoint Now) const {
   const auto Failed = m_Failures.find(Daemon.m_Id);
   return Failed != m_Failures.end() && Now < Failed->second.m_PassedOverUntil;
 }
 
-bool OrderSources::isUsable(const ListedDaemon &Daemon, TimePoint Now) const {
+bool RelaySources::isUsable(const ListedDaemon &Daemon, TimePoint Now) const {
   const auto Stale = m_StaleUntil.find(Daemon.m_Id);
   return !hasFailed(Daemon, Now) && (Stale == m_StaleUntil.end() || Now >= Stale->second);
 }
 
-std::vector<ListedDaemon> OrderSources::precedingInRegion(TimePoint Now) const {
+std::vector<ListedDaemon> RelaySources::precedingInRegion(TimePoint Now) const {
   const OrderKey Own = keyOf(m_Self, m_SelfNearStore, m_SelfWideLink);
   std::vector<ListedDaemon> Preceding;
   for (const ListedDaemon &Daemon : m_Others)
@@ -168,12 +168,12 @@
   return Preceding;
 }
 
-bool OrderSources::knowsDaemonNearStore() const {
+bool RelaySources::knowsDaemonNearStore() const {
   return std::any_of(m_Others.begin(), m_Others.end(),
                      [](const ListedDaemon &Daemon) { return Daemon.m_Contact->m_NearStore; });
 }
 
-std::size_t OrderSources::daemonsInRegion() const {
+std::size_t RelaySources::daemonsInRegion() const {
   const std::int64_t Others =
       std::count_if(m_Others.begin(), m_Others.end(),
                     [this](const ListedDaemon &Daemon) { return Daemon.m_Contact->m_Region == m_Region; });
--- a/packages/gateway/include/bulrushpitch/gateway/control_service.h
+++ b/packages/gateway/include/bulrushpitch/gateway/control_service.h
@@ -26,7 +26,7 @@
   ClockHook m_Clock;
   RandomHook m_Random;
   ConfigHook m_OnConfig;
-  OrderWatchHook m_WatchOrders; ///< Asks another daemon. Empty: all orders come from the store.
+  TableWatchHook m_WatchTables; ///< Asks another daemon. Empty: all tables come from the store.
   /// How other daemons reach this one; nothing if they can't. m_NearStore is set by the service.
   std::optional<DaemonContact> m_Contact;
 };
@@ -46,8 +46,8 @@
   void stop() override;
 
   /// @brief Answers a daemon that follows this one.
-  /// @return error 602 if no orders are known yet
-  boost::asio::awaitable<Expected<PeerOrders>> answerOrderWatch(PeerOrderWatch Held);
+  /// @return error 602 if no table is known yet
+  boost::asio::awaitable<Expected<PeerTableNewsList>> answerTableWatch(PeerTableWatch Watch);
 
 private:
   class Impl;
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -129,10 +129,10 @@
   std::vector<PromptEvidence> m_Updated; ///< Empty evidence: the daemon has withdrawn it.
 };
 
-/// Asks another daemon for operators' orders that this one lacks.
-/// @param Timeout for the whole call; longer than Held.m_Wait
-using OrderWatchHook = std::function<boost::asio::awaitable<Expected<PeerOrders>>(
-    Endpoint Peer, PeerOrderWatch Held, Duration Timeout)>;
+/// Asks another daemon for changes of tables that this one lacks.
+/// @param Timeout for the whole call; longer than Watch.m_Wait
+using TableWatchHook = std::function<boost::asio::awaitable<Expected<PeerTableNewsList>>(
+    Endpoint Peer, PeerTableWatch Watch, Duration Timeout)>;
 
 /// @brief The store shared by all daemons.
 ///
--- a/packages/gateway/src/order_book.cpp
+++ b/packages/gateway/src/order_book.cpp
@@ -18,10 +18,6 @@
 
 } // namespace
 
-bool OrderBook::isOutdated(const StoreCursor &Position) const {
-  return m_Position && m_Position->m_Era == Position.m_Era && Position.m_Version < m_Position->m_Version;
-}
-
 void OrderBook::apply(const OrderChanges &Changes, ConfigPtr Newest, TimePoint ConfirmedAt) {
   const bool Replaces = Changes.m_FullSnapshot || isRestoredSince(Changes.m_Era);
   std::set<DomainId> DomainsOut = Replaces ? std::set<DomainId>() : m_DomainsOut;
@@ -34,7 +30,7 @@
   for (const ServiceId &Service : Changes.m_TrialsWithdrawn)
     Trials.erase(Service);
 
-  const bool Changed = !m_Position || isRestoredSince(Changes.m_Era) || DomainsOut != m_DomainsOut ||
+  const bool Changed = !position() || isRestoredSince(Changes.m_Era) || DomainsOut != m_DomainsOut ||
                        Trials != m_Trials || revisionOf(Newest) != revisionOf(m_Newest);
   confirm({Changes.m_Era, Changes.m_Cursor}, ConfirmedAt);
   if (!Changed)
@@ -46,19 +42,16 @@
   m_Encoded.clear();
 }
 
-void OrderBook::confirm(const StoreCursor &Position, TimePoint ConfirmedAt) {
-  if (!isOutdated(Position))
-    m_Position = Position;
-  m_ConfirmedAt = std::max(m_ConfirmedAt, ConfirmedAt);
+void OrderBook::onConfirmed(TimePoint ConfirmedAt) {
   std::erase_if(m_Recent, [ConfirmedAt](const RecentConfig &Recent) {
     return ConfirmedAt - Recent.m_SupersededAt >= RecentConfigTime;
   });
 }
 
 bool OrderBook::hasNewsFor(const StoreCursor &Position, ConfigRevision Revision) const {
-  if (!m_Position || Position.m_Era > m_Position->m_Era)
+  if (!position() || Position.m_Era > position()->m_Era)
     return false;
-  return Position.m_Era != m_Position->m_Era || Position.m_Version < m_ChangedAtVersion ||
+  return Position.m_Era != position()->m_Era || Position.m_Version < m_ChangedAtVersion ||
          Revision < revisionOf(m_Newest);
 }
 
--- a/packages/gateway/src/order_book.h
+++ b/packages/gateway/src/order_book.h
@@ -1,8 +1,9 @@
 #ifndef BULRUSHPITCH_GATEWAY_SRC_ORDER_BOOK_H
 #define BULRUSHPITCH_GATEWAY_SRC_ORDER_BOOK_H
 
+#include "replica.h"
+
 #include "bulrushpitch/forward/config_index.h"
-#include "bulrushpitch/forward/store_era.h"
 #include "bulrushpitch/gateway/ports.h"
 #include "bulrushpitch/rpc/order_codec.h"
 
@@ -16,29 +17,22 @@
 
 namespace bulrushpitch {
 
-/// @brief The operators' orders as the store has them, for other daemons: at which version of the store they
-/// were read, and what another daemon lacks of them.
-///
-/// Differs from what is in force here after a restore of the store, when lost orders are held for a while.
-/// Not thread-safe.
-class OrderBook {
+/// @brief Replica of the operators' orders. A daemon with a recent configuration is sent the difference to
+/// it.
+class OrderBook : public Replica {
 public:
   using ConfigPtr = std::shared_ptr<const ConfigIndex>;
 
-  /// @return whether an answer read at this position may lack changes that are known already
-  bool isOutdated(const StoreCursor &Position) const;
-  /// @return whether the store was restored between what is known and an answer of this era
-  bool isRestoredSince(StoreEra Era) const { return m_Position && m_Position->m_Era != Era; }
+  RelayedTable table() const override { return RelayedTable::Orders; }
+  bool hasNewsFor(const PeerHeldTable &Held) const override {
+    return hasNewsFor({StoreEra(Held.m_Era), Held.m_Version}, Held.m_Revision);
+  }
+  std::string encodedFor(const PeerHeldTable &Held) override { return encodedFor(Held.m_Revision); }
+
   /// @brief Applies an answer that is not outdated.
   /// @param Newest the configuration in force after it; null if none is known
   /// @param ConfirmedAt when the store confirmed it
   void apply(const OrderChanges &Changes, ConfigPtr Newest, TimePoint ConfirmedAt);
-  /// @brief Records that nothing has changed up to a position.
-  void confirm(const StoreCursor &Position, TimePoint ConfirmedAt);
-
-  /// @return where the change feed goes on from; nothing before the first answer
-  const std::optional<StoreCursor> &position() const { return m_Position; }
-  TimePoint confirmedAt() const { return m_ConfirmedAt; }
   /// @return whether a daemon with orders of this position and revision lacks some
   bool hasNewsFor(const StoreCursor &Position, ConfigRevision Revision) const;
   /// @brief Encodes all orders, and the difference between a recent configuration and the newest one.
@@ -47,6 +41,9 @@
   /// @complexity linear in the size of the configuration; constant for a base that was asked for before
   const std::string &encodedFor(ConfigRevision Base);
 
+protected:
+  void onConfirmed(TimePoint ConfirmedAt) override;
+
 private:
   struct RecentConfig {
     ConfigPtr m_Config;
@@ -56,9 +53,7 @@
   void setNewest(ConfigPtr Newest, TimePoint Now);
   ConfigPtr recentConfig(ConfigRevision Revision) const;
 
-  std::optional<StoreCursor> m_Position;
   std::uint64_t m_ChangedAtVersion = 0; ///< Version of the store at the first answer with what is known now.
-  TimePoint m_ConfirmedAt{};
   std::set<DomainId> m_DomainsOut;
   std::map<ServiceId, TrialOrder> m_Trials;
   ConfigPtr m_Newest;
--- a/packages/rpc/include/bulrushpitch/rpc/messages.h
+++ b/packages/rpc/include/bulrushpitch/rpc/messages.h
@@ -4,6 +4,7 @@
 #include "bulrushpitch/config/objects.h"
 #include "bulrushpitch/core/clock.h"
 #include "bulrushpitch/core/ids.h"
+#include "bulrushpitch/forward/relayed_table.h"
 #include "bulrushpitch/net/http_message.h"
 #include "bulrushpitch/timeline/event.h"
 
@@ -29,7 +30,7 @@
   Probe,
   Timeline,
   Status,
-  WatchOrders
+  WatchTables
 };
 inline constexpr std::size_t peerMethodCount = 11;
 
@@ -167,24 +168,41 @@
   friend bool operator==(const PeerStatus &, const PeerStatus &) = default;
 };
 
-/// @brief Waits for operators' orders that the caller does not have.
-struct PeerOrderWatch {
-  std::uint64_t m_Era = 0;           ///< Of the store, in which the caller's orders were read.
-  std::uint64_t m_Version = 0;       ///< Of the store, at which the caller's orders were read.
-  ConfigRevision m_Revision{};       ///< Of the caller's configuration; 0 if it has none.
-  std::chrono::milliseconds m_Age{}; ///< Since the caller's orders were last confirmed.
+/// @brief What a daemon has of a table.
+struct PeerHeldTable {
+  RelayedTable m_Table{};
+  std::uint64_t m_Era = 0;           ///< Of the store, in which the rows were read.
+  std::uint64_t m_Version = 0;       ///< Of the store, at which the rows were read.
+  ConfigRevision m_Revision{};       ///< Of the configuration, if the table has one; 0 if none is known.
+  std::chrono::milliseconds m_Age{}; ///< Since the rows were last confirmed.
+  friend bool operator==(const PeerHeldTable &, const PeerHeldTable &) = default;
+};
+
+/// @brief Waits for changes of tables that the caller does not have.
+struct PeerTableWatch {
+  std::vector<PeerHeldTable> m_Held; ///< At most one entry a table.
   /// How long the answer may be held back while there is nothing new.
   std::chrono::milliseconds m_Wait{};
-  friend bool operator==(const PeerOrderWatch &, const PeerOrderWatch &) = default;
+  friend bool operator==(const PeerTableWatch &, const PeerTableWatch &) = default;
 };
 
-/// @brief The operators' orders as one daemon knows them.
-struct PeerOrders {
+/// @brief A table as one daemon knows it.
+struct PeerTableNews {
+  RelayedTable m_Table{};
   std::uint64_t m_Era = 0;
   std::uint64_t m_Version = 0;
-  std::chrono::milliseconds m_Age{}; ///< Since they were last confirmed by the store.
-  std::string m_Bytes{};             ///< Empty if the caller has them already.
-  friend bool operator==(const PeerOrders &, const PeerOrders &) = default;
+  std::chrono::milliseconds m_Age{}; ///< Since it was last confirmed by the store.
+  std::string m_Bytes{};             ///< What the caller lacks; empty if it has all rows.
+  /// Time since the store came back from an outage; nothing if that was long ago.
+  std::optional<std::chrono::milliseconds> m_SinceRecovery{};
+  bool m_CutOff = false; ///< The answering daemon gets no confirmation from the store either.
+  friend bool operator==(const PeerTableNews &, const PeerTableNews &) = default;
+};
+
+/// @brief Answer to PeerTableWatch: the tables that the answering daemon knows.
+struct PeerTableNewsList {
+  std::vector<PeerTableNews> m_Tables;
+  friend bool operator==(const PeerTableNewsList &, const PeerTableNewsList &) = default;
 };
 
 } // namespace bulrushpitch
--- a/packages/rpc/include/bulrushpitch/rpc/peer_client.h
+++ b/packages/rpc/include/bulrushpitch/rpc/peer_client.h
@@ -58,10 +58,10 @@
   boost::asio::awaitable<Expected<PeerTimeline>> timeline(Endpoint Peer, EventFilter Filter,
                                                           Duration Timeout = defaultTimeout);
   boost::asio::awaitable<Expected<PeerStatus>> status(Endpoint Peer, Duration Timeout = defaultTimeout);
-  /// @brief Waits for orders that this daemon does not have.
+  /// @brief Waits for changes of tables that this daemon does not have.
   /// @param Timeout must exceed Held.m_Wait
-  boost::asio::awaitable<Expected<PeerOrders>> watchOrders(Endpoint Peer, PeerOrderWatch Held,
-                                                           Duration Timeout);
+  boost::asio::awaitable<Expected<PeerTableNewsList>> watchTables(Endpoint Peer, PeerTableWatch Held,
+                                                                  Duration Timeout);
 
   /// @brief Closes every connection; calls that wait fail with 701. Later calls connect again.
   void closeAll();
--- a/packages/rpc/include/bulrushpitch/rpc/peer_server.h
+++ b/packages/rpc/include/bulrushpitch/rpc/peer_server.h
@@ -32,7 +32,7 @@
   PeerHook<PeerProbe, PeerProbeResult> m_Probe;
   PeerHook<EventFilter, PeerTimeline> m_Timeline;
   PeerHook<Done, PeerStatus> m_Status;
-  PeerHook<PeerOrderWatch, PeerOrders> m_WatchOrders;
+  PeerHook<PeerTableWatch, PeerTableNewsList> m_WatchTables;
 };
 
 /// @brief Answers the calls of other daemons over Cap'n Proto RPC.
--- a/packages/rpc/include/bulrushpitch/rpc/rpc.h
+++ b/packages/rpc/include/bulrushpitch/rpc/rpc.h
@@ -9,5 +9,6 @@
 #include "bulrushpitch/rpc/order_codec.h" // IWYU pragma: export
 #include "bulrushpitch/rpc/peer_client.h" // IWYU pragma: export
 #include "bulrushpitch/rpc/peer_server.h" // IWYU pragma: export
+#include "bulrushpitch/rpc/table_codec.h" // IWYU pragma: export
 
 #endif // BULRUSHPITCH_RPC_RPC_H
--- a/packages/rpc/schema/peer.capnp
+++ b/packages/rpc/schema/peer.capnp
@@ -166,19 +166,32 @@
   json @5 :Text;
 }
 
-struct OrderWatch {
-  era @0 :UInt64;
-  version @1 :UInt64;   # Of the orders that the caller has.
-  revision @2 :UInt64;  # Of the configuration that the caller has; 0 if none.
-  ageMs @3 :Int64;      # Since the caller's orders were last confirmed.
-  waitMs @4 :UInt32;    # How long the answer may be held back while there is nothing new.
+struct HeldTable {
+  table @0 :UInt8;      # 0 operators' orders, 1 registry of upstreams. Others are passed over.
+  era @1 :UInt64;
+  version @2 :UInt64;   # Of the store, at which the caller's rows were read.
+  revision @3 :UInt64;  # Of the configuration that the caller has; 0 if none.
+  ageMs @4 :Int64;      # Since the caller's rows were last confirmed.
 }
 
-struct Orders {
-  era @0 :UInt64;
-  version @1 :UInt64;
-  ageMs @2 :Int64;
-  bytes @3 :Data;       # Empty if the caller has them already.
+struct TableWatch {
+  held @0 :List(HeldTable);
+  waitMs @1 :UInt32;    # How long the answer may be held back while there is nothing new.
+}
+
+struct TableNews {
+  table @0 :UInt8;
+  era @1 :UInt64;
+  version @2 :UInt64;
+  ageMs @3 :Int64;
+  bytes @4 :Data;        # Empty if the caller has all rows already.
+  recovered @5 :Bool;    # Whether the store came back from an outage a short while ago.
+  recoveredMs @6 :Int64; # Time since then.
+  cutOff @7 :Bool;       # The answering daemon gets no confirmation from the store either.
+}
+
+struct TableNewsList {
+  tables @0 :List(TableNews);
 }
 
 struct Empty {}
@@ -191,7 +204,7 @@
 struct ProbeResultResult { union { value @0 :ProbeResult; failure @1 :Failure; } }
 struct EventsResult { union { value @0 :Events; failure @1 :Failure; } }
 struct StatusResult { union { value @0 :Status; failure @1 :Failure; } }
-struct OrdersResult { union { value @0 :Orders; failure @1 :Failure; } }
+struct TableNewsResult { union { value @0 :TableNewsList; failure @1 :Failure; } }
 
 interface Peer {
   exchange @0 Digest -> DigestResult;
@@ -204,5 +217,6 @@
   probe @7 Probe -> ProbeResultResult;
   timeline @8 Filter -> EventsResult;
   status @9 Empty -> StatusResult;
-  watchOrders @10 OrderWatch -> OrdersResult;
+  unused10 @10 Empty -> EmptyResult;  # Was watchOrders.
+  watchTables @11 TableWatch -> TableNewsResult;
 }
--- a/packages/rpc/src/conversion.cpp
+++ b/packages/rpc/src/conversion.cpp
@@ -424,36 +424,72 @@
   To.m_Json = string(From.getJson());
 }
 
-void toWire(const PeerOrderWatch &From, schema::OrderWatch::Builder To) {
-  To.setEra(From.m_Era);
-  To.setVersion(From.m_Version);
-  To.setRevision(From.m_Revision.value());
-  To.setAgeMs(From.m_Age.count());
+namespace {
+
+/// Far more than there are tables, also in later versions; each entry may be answered with a whole table.
+constexpr unsigned MaxTables = 32;
+
+template <typename List> void checkTableCount(const List &Tables) {
+  if (Tables.size() > MaxTables)
+    throw BadMessage("a message names " + std::to_string(Tables.size()) + " tables");
+}
+
+bool isKnownTable(std::uint8_t Table) { return Table < relayedTableCount; }
+
+} // namespace
+
+void toWire(const PeerTableWatch &From, schema::TableWatch::Builder To) {
+  capnp::List<schema::HeldTable>::Builder Tables = To.initHeld(static_cast<unsigned>(From.m_Held.size()));
+  for (unsigned Index = 0; Index < Tables.size(); ++Index) {
+    const PeerHeldTable &Held = From.m_Held[Index];
+    Tables[Index].setTable(static_cast<std::uint8_t>(Held.m_Table));
+    Tables[Index].setEra(Held.m_Era);
+    Tables[Index].setVersion(Held.m_Version);
+    Tables[Index].setRevision(Held.m_Revision.value());
+    Tables[Index].setAgeMs(Held.m_Age.count());
+  }
   To.setWaitMs(number32(static_cast<std::uint64_t>(From.m_Wait.count()), "wait"));
 }
 
-void fromWire(schema::OrderWatch::Reader From, PeerOrderWatch &To) {
-  To.m_Era = From.getEra();
-  To.m_Version = From.getVersion();
-  To.m_Revision = ConfigRevision(From.getRevision());
-  To.m_Age = std::chrono::milliseconds(From.getAgeMs());
+void fromWire(schema::TableWatch::Reader From, PeerTableWatch &To) {
+  checkTableCount(From.getHeld());
+  for (schema::HeldTable::Reader Held : From.getHeld())
+    if (isKnownTable(Held.getTable()))
+      To.m_Held.push_back({static_cast<RelayedTable>(Held.getTable()), Held.getEra(), Held.getVersion(),
+                           ConfigRevision(Held.getRevision()), std::chrono::milliseconds(Held.getAgeMs())});
   To.m_Wait = std::chrono::milliseconds(From.getWaitMs());
 }
 
-void toWire(const PeerOrders &From, schema::Orders::Builder To) {
-  To.setEra(From.m_Era);
-  To.setVersion(From.m_Version);
-  To.setAgeMs(From.m_Age.count());
-  if (!From.m_Bytes.empty())
-    To.setBytes(data(From.m_Bytes));
+void toWire(const PeerTableNewsList &From, schema::TableNewsList::Builder To) {
+  capnp::List<schema::TableNews>::Builder Tables = To.initTables(static_cast<unsigned>(From.m_Tables.size()));
+  for (unsigned Index = 0; Index < Tables.size(); ++Index) {
+    const PeerTableNews &News = From.m_Tables[Index];
+    Tables[Index].setTable(static_cast<std::uint8_t>(News.m_Table));
+    Tables[Index].setEra(News.m_Era);
+    Tables[Index].setVersion(News.m_Version);
+    Tables[Index].setAgeMs(News.m_Age.count());
+    if (!News.m_Bytes.empty())
+      Tables[Index].setBytes(data(News.m_Bytes));
+    Tables[Index].setRecovered(News.m_SinceRecovery.has_value());
+    Tables[Index].setCutOff(News.m_CutOff);
+    Tables[Index].setRecoveredMs(News.m_SinceRecovery.value_or(std::chrono::milliseconds{}).count());
+  }
 }
 
-void fromWire(schema::Orders::Reader From, PeerOrders &To) {
-  To.m_Era = From.getEra();
-  To.m_Version = From.getVersion();
-  To.m_Age = std::chrono::milliseconds(From.getAgeMs());
-  const capnp::Data::Reader Bytes = From.getBytes();
-  To.m_Bytes.assign(reinterpret_cast<const char *>(Bytes.begin()), Bytes.size());
+void fromWire(schema::TableNewsList::Reader From, PeerTableNewsList &To) {
+  checkTableCount(From.getTables());
+  for (schema::TableNews::Reader News : From.getTables()) {
+    if (!isKnownTable(News.getTable()))
+      continue;
+    const capnp::Data::Reader Bytes = News.getBytes();
+    PeerTableNews Received{static_cast<RelayedTable>(News.getTable()), News.getEra(), News.getVersion(),
+                           std::chrono::milliseconds(News.getAgeMs()),
+                           std::string(reinterpret_cast<const char *>(Bytes.begin()), Bytes.size())};
+    Received.m_CutOff = News.getCutOff();
+    if (News.getRecovered())
+      Received.m_SinceRecovery = std::chrono::milliseconds(News.getRecoveredMs());
+    To.m_Tables.push_back(std::move(Received));
+  }
 }
 
 } // namespace bulrushpitch::detail
--- a/packages/rpc/src/conversion.h
+++ b/packages/rpc/src/conversion.h
@@ -29,8 +29,8 @@
 void toWire(const EventFilter &From, schema::Filter::Builder To);
 void toWire(const PeerTimeline &From, schema::Events::Builder To);
 void toWire(const PeerStatus &From, schema::Status::Builder To);
-void toWire(const PeerOrderWatch &From, schema::OrderWatch::Builder To);
-void toWire(const PeerOrders &From, schema::Orders::Builder To);
+void toWire(const PeerTableWatch &From, schema::TableWatch::Builder To);
+void toWire(const PeerTableNewsList &From, schema::TableNewsList::Builder To);
 inline void toWire(const Done & /*From*/, schema::Empty::Builder /*To*/) {}
 /// @}
 
@@ -48,8 +48,8 @@
 void fromWire(schema::Filter::Reader From, EventFilter &To);
 void fromWire(schema::Events::Reader From, PeerTimeline &To);
 void fromWire(schema::Status::Reader From, PeerStatus &To);
-void fromWire(schema::OrderWatch::Reader From, PeerOrderWatch &To);
-void fromWire(schema::Orders::Reader From, PeerOrders &To);
+void fromWire(schema::TableWatch::Reader From, PeerTableWatch &To);
+void fromWire(schema::TableNewsList::Reader From, PeerTableNewsList &To);
 inline void fromWire(schema::Empty::Reader /*From*/, Done & /*To*/) {}
 /// @}
 
--- a/packages/rpc/src/messages.cpp
+++ b/packages/rpc/src/messages.cpp
@@ -7,7 +7,7 @@
 std::string_view nameOf(PeerMethod Value) {
   static constexpr std::array<std::string_view, peerMethodCount> Names{
       "exchange",    "fetch", "acquirePermit", "renewPermit", "releasePermit", "holdCharges",
-      "dropCharges", "probe", "timeline",      "status",      "watchOrders"};
+      "dropCharges", "probe", "timeline",      "status",      "watchTables"};
   const std::size_t Index = static_cast<std::size_t>(Value);
   return Index < Names.size() ? Names[Index] : "unknown";
 }
--- a/packages/rpc/src/order_codec.cpp
+++ b/packages/rpc/src/order_codec.cpp
@@ -1,50 +1,25 @@
 #include "bulrushpitch/rpc/order_codec.h"
 
-#include "compression.h"
 #include "generated/orders.capnp.h"
-
-#include <capnp/serialize.h>
-#include <kj/exception.h>
-
-#include <cstring>
+#include "packed_message.h"
 
 namespace bulrushpitch {
 
 namespace {
 
+using detail::fromText;
+using detail::listSize;
+using detail::textsFromWire;
+using detail::textsToWire;
+using detail::toText;
 using std::chrono::milliseconds;
 
-/// Far above the largest configuration.
-constexpr std::size_t MaxExpandedBytes = 32UL * 1024 * 1024;
 constexpr std::uint8_t LastRequestKind = static_cast<std::uint8_t>(RequestKind::Stream);
 
-capnp::Text::Reader text(const std::string &Value) { return {Value.c_str(), Value.size()}; }
-template <typename Tag> capnp::Text::Reader text(const Strong<Tag, std::string> &Value) {
-  return text(Value.value());
-}
-
-std::string string(capnp::Text::Reader Value) { return {Value.cStr(), Value.size()}; }
-
-unsigned listSize(std::size_t Size) { return static_cast<unsigned>(Size); }
-
-template <typename Value>
-void textsToWire(const std::vector<Value> &From, capnp::List<capnp::Text>::Builder To) {
-  for (unsigned Index = 0; Index < To.size(); ++Index)
-    To.set(Index, text(From[Index]));
-}
-
-template <typename Value> std::vector<Value> textsFromWire(capnp::List<capnp::Text>::Reader From) {
-  std::vector<Value> To;
-  To.reserve(From.size());
-  for (capnp::Text::Reader Text : From)
-    To.emplace_back(string(Text));
-  return To;
-}
-
 void toWire(const ForwardRoute &From, schema::Route::Builder To) {
-  To.setName(text(From.m_Name));
-  To.setHost(text(From.m_Host));
-  To.setPrefix(text(From.m_Prefix));
+  To.setName(toText(From.m_Name));
+  To.setHost(toText(From.m_Host));
+  To.setPrefix(toText(From.m_Prefix));
   To.setKind(static_cast<std::uint8_t>(From.m_Kind));
   To.setTimeoutMs(From.m_Timeout.count());
   To.setTargetLatencyMs(From.m_TargetLatency.count());
@@ -55,7 +30,7 @@
   To.setResumable(From.m_Resumable);
   capnp::List<schema::ServiceShare>::Builder Shares = To.initServices(listSize(From.m_Services.size()));
   for (unsigned Index = 0; Index < Shares.size(); ++Index) {
-    Shares[Index].setService(text(From.m_Services[Index].m_Service));
+    Shares[Index].setService(toText(From.m_Services[Index].m_Service));
     Shares[Index].setWeight(From.m_Services[Index].m_Weight);
   }
   textsToWire(From.m_Models, To.initModels(listSize(From.m_Models.size())));
@@ -65,9 +40,9 @@
 ForwardRoute fromWire(schema::Route::Reader From) {
   KJ_REQUIRE(From.getKind() <= LastRequestKind, "the kind of a route is not known");
   ForwardRoute To;
-  To.m_Name = string(From.getName());
-  To.m_Host = string(From.getHost());
-  To.m_Prefix = string(From.getPrefix());
+  To.m_Name = fromText(From.getName());
+  To.m_Host = fromText(From.getHost());
+  To.m_Prefix = fromText(From.getPrefix());
   To.m_Kind = static_cast<RequestKind>(From.getKind());
   To.m_Timeout = milliseconds(From.getTimeoutMs());
   To.m_TargetLatency = milliseconds(From.getTargetLatencyMs());
@@ -77,14 +52,14 @@
   To.m_Public = From.getPublic();
   To.m_Resumable = From.getResumable();
   for (schema::ServiceShare::Reader Share : From.getServices())
-    To.m_Services.push_back({ServiceId(string(Share.getService())), Share.getWeight()});
+    To.m_Services.push_back({ServiceId(fromText(Share.getService())), Share.getWeight()});
   To.m_Models = textsFromWire<ModelId>(From.getModels());
   To.m_Regions = textsFromWire<RegionId>(From.getRegions());
   return To;
 }
 
 void toWire(const ForwardTeam &From, schema::Team::Builder To) {
-  To.setId(text(From.m_Id));
+  To.setId(toText(From.m_Id));
   textsToWire(From.m_Keys, To.initKeys(listSize(From.m_Keys.size())));
   To.setHasPriority(From.m_Priority.has_value());
   To.setPriority(From.m_Priority.value_or(0));
@@ -93,7 +68,7 @@
 
 ForwardTeam fromWire(schema::Team::Reader From) {
   ForwardTeam To;
-  To.m_Id = TeamId(string(From.getId()));
+  To.m_Id = TeamId(fromText(From.getId()));
   To.m_Keys = textsFromWire<std::string>(From.getKeys());
   if (From.getHasPriority())
     To.m_Priority = From.getPriority();
@@ -102,12 +77,12 @@
 }
 
 void toWire(const ForwardService &From, schema::Service::Builder To) {
-  To.setId(text(From.m_Id));
+  To.setId(toText(From.m_Id));
   To.setColdRequestsPerSecond(From.m_ColdRequestsPerSecond);
   capnp::List<schema::ModelCost>::Builder Costs = To.initModelCosts(listSize(From.m_ModelCosts.size()));
   unsigned Index = 0;
   for (const std::pair<const ModelId, double> &Cost : From.m_ModelCosts) {
-    Costs[Index].setModel(text(Cost.first));
+    Costs[Index].setModel(toText(Cost.first));
     Costs[Index].setCost(Cost.second);
     ++Index;
   }
@@ -115,24 +90,24 @@
 
 ForwardService fromWire(schema::Service::Reader From) {
   ForwardService To;
-  To.m_Id = ServiceId(string(From.getId()));
+  To.m_Id = ServiceId(fromText(From.getId()));
   To.m_ColdRequestsPerSecond = From.getColdRequestsPerSecond();
   for (schema::ModelCost::Reader Cost : From.getModelCosts())
-    To.m_ModelCosts[ModelId(string(Cost.getModel()))] = Cost.getCost();
+    To.m_ModelCosts[ModelId(fromText(Cost.getModel()))] = Cost.getCost();
   return To;
 }
 
 void toWire(const TrialOrder &From, schema::Rollout::Builder To) {
-  To.setService(text(From.m_Service));
-  To.setTargetVersion(text(From.m_TargetVersion));
+  To.setService(toText(From.m_Service));
+  To.setTargetVersion(toText(From.m_TargetVersion));
   To.setTimeLimitNs(From.m_TimeLimit.count());
   To.setOrderVersion(From.m_OrderVersion);
 }
 
 TrialOrder fromWire(schema::Rollout::Reader From) {
   TrialOrder To;
-  To.m_Service = ServiceId(string(From.getService()));
-  To.m_TargetVersion = VersionId(string(From.getTargetVersion()));
+  To.m_Service = ServiceId(fromText(From.getService()));
+  To.m_TargetVersion = VersionId(fromText(From.getTargetVersion()));
   To.m_TimeLimit = Duration(From.getTimeLimitNs());
   To.m_OrderVersion = From.getOrderVersion();
   return To;
@@ -184,21 +159,13 @@
   return To;
 }
 
-Error malformed(std::string Detail) {
-  return Error{ErrorCode::PeerProtocol, "decode orders", "", Ran::No, std::move(Detail)};
-}
-
-OrderSnapshot readSnapshot(kj::ArrayPtr<const capnp::word> Words) {
-  capnp::ReaderOptions Options;
-  Options.traversalLimitInWords = MaxExpandedBytes / sizeof(capnp::word);
-  capnp::FlatArrayMessageReader Message(Words, Options);
-  const schema::OrderSnapshot::Reader Root = Message.getRoot<schema::OrderSnapshot>();
-  OrderSnapshot Orders;
-  Orders.m_DomainsOut = textsFromWire<DomainId>(Root.getDomainsOut());
-  Orders.m_Trials = elementsFromWire<TrialOrder>(Root.getRollouts());
-  if (Root.hasConfig())
-    Orders.m_Config = fromWire(Root.getConfig());
-  return Orders;
+OrderSnapshot fromWire(schema::OrderSnapshot::Reader From) {
+  OrderSnapshot To;
+  To.m_DomainsOut = textsFromWire<DomainId>(From.getDomainsOut());
+  To.m_Trials = elementsFromWire<TrialOrder>(From.getRollouts());
+  if (From.hasConfig())
+    To.m_Config = fromWire(From.getConfig());
+  return To;
 }
 
 } // namespace
@@ -210,22 +177,18 @@
   elementsToWire(Orders.m_Trials, Root.initRollouts(listSize(Orders.m_Trials.size())));
   if (Orders.m_Config)
     toWire(*Orders.m_Config, Root.initConfig());
-  const kj::Array<capnp::word> Words = capnp::messageToFlatArray(Message);
-  const kj::ArrayPtr<const char> Plain = Words.asChars();
-  return detail::compress({Plain.begin(), Plain.size()});
+  return detail::packMessage(Message);
 }
 
 Expected<OrderSnapshot> decodeOrders(std::string_view Encoded) {
-  const std::optional<std::string> Expanded = detail::expand(Encoded, MaxExpandedBytes);
-  if (!Expanded)
-    return malformed("the bytes can't be expanded");
-  kj::Array<capnp::word> Words = kj::heapArray<capnp::word>(Expanded->size() / sizeof(capnp::word));
-  std::memcpy(Words.begin(), Expanded->data(), Words.asBytes().size());
-  try {
-    return readSnapshot(Words);
-  } catch (const kj::Exception &Failure) {
-    return malformed(Failure.getDescription().cStr());
-  }
+  OrderSnapshot Orders;
+  const Expected<Done> Read =
+      detail::unpackMessage(Encoded, "decode orders", [&](capnp::MessageReader &Message) {
+        Orders = fromWire(Message.getRoot<schema::OrderSnapshot>());
+      });
+  if (!Read)
+    return Read.error();
+  return Orders;
 }
 
 } // namespace bulrushpitch
--- a/packages/rpc/src/peer_client.cpp
+++ b/packages/rpc/src/peer_client.cpp
@@ -414,11 +414,11 @@
                                       [](schema::Peer::Client &To) { return To.statusRequest(); });
 }
 
-boost::asio::awaitable<Expected<PeerOrders>> PeerClient::watchOrders(Endpoint Peer, PeerOrderWatch Held,
-                                                                     Duration Timeout) {
-  return Impl::call<PeerOrderWatch, PeerOrders>(
-      m_Impl, PeerMethod::WatchOrders, std::move(Peer), std::move(Held), Timeout,
-      [](schema::Peer::Client &To) { return To.watchOrdersRequest(); });
+boost::asio::awaitable<Expected<PeerTableNewsList>>
+PeerClient::watchTables(Endpoint Peer, PeerTableWatch Held, Duration Timeout) {
+  return Impl::call<PeerTableWatch, PeerTableNewsList>(
+      m_Impl, PeerMethod::WatchTables, std::move(Peer), std::move(Held), Timeout,
+      [](schema::Peer::Client &To) { return To.watchTablesRequest(); });
 }
 
 void PeerClient::closeAll() { m_Impl->closeAll(); }
--- a/packages/rpc/src/peer_server.cpp
+++ b/packages/rpc/src/peer_server.cpp
@@ -105,8 +105,8 @@
   kj::Promise<void> status(StatusContext Call) override {
     return answer(PeerMethod::Status, m_Shared->m_Handler.m_Status, Call);
   }
-  kj::Promise<void> watchOrders(WatchOrdersContext Call) override {
-    return answer(PeerMethod::WatchOrders, m_Shared->m_Handler.m_WatchOrders, Call);
+  kj::Promise<void> watchTables(WatchTablesContext Call) override {
+    return answer(PeerMethod::WatchTables, m_Shared->m_Handler.m_WatchTables, Call);
   }
 
 private:
