--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,6 @@
 #!/usr/bin/env bash
 # A request inside another request's body reaches an engine. TROUBLE=0: the same body, sent with its length.
-cd "$(dirname "$0")" && exec python3 -B case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+python3 -c 'import sys; sys.exit(sys.version_info < (3, 8))' || exit 2
+exec python3 -B case.py
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -7,8 +7,11 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -20,12 +23,19 @@
 HEARTBEAT_S = 1.2
 
 
+PORTS = iter(random.sample(range(20000, 30000), 10000))  # Below the range from which connections get their ports.
+
+
 def free_port():
-    """Returns a loopback port that is free now."""
-    import socket
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a loopback port that is free now, and that no outgoing connection takes meanwhile; none twice."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+    raise OSError("no free port")
 
 
 class Record:
@@ -285,8 +295,6 @@
 
 def reset(writer):
     """Breaks a channel off as a crashed process does: with a reset."""
-    import socket
-    import struct
     writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
@@ -466,12 +474,10 @@
     class World:
         pass
 
-    async def main():
-        world = World()
+    async def play(world):
         world.trouble = os.environ.get("TROUBLE", "1") != "0"
         world.record = Record(folder)
         world.folder = tempfile.mkdtemp()
-        world.daemons = []
         world.store = Store()
         await world.store.start()
 
@@ -480,24 +486,38 @@
             world.daemons.append(made)
             return made
         world.daemon = daemon
+        return await asyncio.wait_for(case(world), limit_s)
+
+    async def main():
+        world = World()
+        world.daemons, world.folder, world.record = [], None, None
+        playing = asyncio.ensure_future(play(world))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
-            verdict = await asyncio.wait_for(case(world), limit_s)
-        except Exception as failure:  # The case itself failed: that is no verdict on the rule.
-            world.record.add("could not run", error=repr(failure))
+            verdict = await playing
+        except (Exception, asyncio.CancelledError) as failure:  # The case itself failed: no verdict on the rule.
+            if world.record:
+                world.record.add("could not run", error=repr(failure))
             print(f"could not run: {failure!r}", file=sys.stderr)
             verdict = 2
         finally:
             for made in world.daemons:
                 made.stop()
-        world.record.add("verdict", exit=verdict)
+        if world.record:
+            world.record.add("verdict", exit=verdict)
         print({0: "held", 1: "BROKEN", 2: "could not run"}[verdict])
-        if verdict != 2:
+        if verdict != 2 and world.folder:
             import shutil
             shutil.rmtree(world.folder, ignore_errors=True)
         else:
             print(f"logs: {world.folder}", file=sys.stderr)
         return verdict
 
-    code = asyncio.run(main())
+    try:
+        code = asyncio.run(main())
+    except BaseException as failure:  # Python itself would exit with 1, which here means that the rule was broken.
+        print(f"could not run: {failure!r}", file=sys.stderr)
+        code = 2
     sys.stdout.flush()
     os._exit(code)
