--- a/packages/net/src/connection.cpp
+++ b/packages/net/src/connection.cpp
@@ -1,10 +1,13 @@
 #include "detail/connection.h"
 
+#include "detail/request_framing.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <exception>
@@ -21,6 +24,8 @@
 namespace {
 
 constexpr std::size_t FirstReadBytes = 4096;
+/// Bytes that are kept until they can be parsed: a chunk's size with its extensions, or a trailer.
+constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
 /// Time that a client has to read the last response after its connection was closed for sending.
 constexpr std::chrono::milliseconds LingerTimeout{2'000};
 /// Limit on the input that is read and dropped meanwhile.
@@ -149,13 +154,36 @@
   co_return !Code;
 }
 
+/// Reads a whole head and leaves it in the buffer.
+/// @return an error also if the end of the request can't be told from the head
+asio::awaitable<error_code> Connection::bufferHead() {
+  error_code Code;
+  while (!Code) {
+    const asio::const_buffer Arrived = m_Buffer.data();
+    const std::string_view Bytes(static_cast<const char *>(Arrived.data()), Arrived.size());
+    const HeadProgress Progress = findHeadEnd(Bytes);
+    if (Progress.m_Fault)
+      co_return Progress.m_Fault;
+    if (Progress.m_Size)
+      co_return framingFault(Bytes.substr(0, *Progress.m_Size));
+    if (Bytes.size() > m_Server->m_Limits.m_MaxHeaderBytes)
+      co_return http::error::header_limit;
+    m_Buffer.commit(co_await m_Watched.m_Socket.async_read_some(
+        m_Buffer.prepare(FirstReadBytes), asio::redirect_error(asio::use_awaitable, Code)));
+  }
+  co_return Code;
+}
+
 asio::awaitable<error_code> Connection::readRequest(Parser &Reader) {
-  Reader.header_limit(static_cast<std::uint32_t>(m_Server->m_Limits.m_MaxHeaderBytes));
+  const std::size_t MaxHeaderBytes = m_Server->m_Limits.m_MaxHeaderBytes;
+  Reader.header_limit(static_cast<std::uint32_t>(MaxHeaderBytes));
   Reader.body_limit(m_Server->m_Limits.m_MaxBodyBytes);
+  m_Buffer.max_size(std::max(MaxHeaderBytes, MaxUnparsedBytes) + FirstReadBytes);
   m_Watched.arm(m_Server->m_Limits.m_ReadTimeout);
-  error_code Code;
-  co_await http::async_read_header(m_Watched.m_Socket, m_Buffer, Reader,
-                                   asio::redirect_error(asio::use_awaitable, Code));
+  error_code Code = co_await bufferHead();
+  if (!Code)
+    co_await http::async_read_header(m_Watched.m_Socket, m_Buffer, Reader,
+                                     asio::redirect_error(asio::use_awaitable, Code));
   if (!Code && boost::beast::iequals(Reader.get()[http::field::expect], "100-continue")) {
     static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(m_Watched.m_Socket, asio::buffer(Continue),
--- a/packages/net/src/detail/connection.h
+++ b/packages/net/src/detail/connection.h
@@ -38,6 +38,7 @@
 
   boost::asio::awaitable<bool> serveOne();
   boost::asio::awaitable<bool> waitForRequest();
+  boost::asio::awaitable<boost::system::error_code> bufferHead();
   boost::asio::awaitable<boost::system::error_code> readRequest(Parser &Reader);
   boost::asio::awaitable<void> endUnread(boost::system::error_code Code);
   boost::asio::awaitable<bool> answer(Message Read);
