--- a/packages/forward/include/bulrushpitch/forward/objects.h
+++ b/packages/forward/include/bulrushpitch/forward/objects.h
@@ -120,6 +120,10 @@
   VersionId m_TargetVersion;
   TrialState m_State = TrialState::Running;
   std::uint64_t m_RowVersion = 0; ///< Expected row version of the next conditional write; 0: no row.
+  /// Row version of the order that it belongs to; 0 if not stated.
+  std::uint64_t m_OrderVersion = 0;
+  /// When the first daemon read the order, by the store's clock; nothing if not stated.
+  std::optional<Duration> m_BegunAt{};
 };
 
 /// @brief One daemon's observations of a new version, on one route or on all routes together.
--- a/packages/forward/include/bulrushpitch/forward/version_trial.h
+++ b/packages/forward/include/bulrushpitch/forward/version_trial.h
@@ -51,9 +51,16 @@
 public:
   /// @param ExposureLimit maximum share of the service's requests that may reach a bad version from the order
   /// to the time limit
-  /// @param SeenAt when this daemon first read the order
+  /// @param SeenAt when this daemon first read the order; stands for the begin until agreeOnBegin()
   VersionTrial(TrialOrder Order, double ExposureLimit, TimePoint SeenAt);
 
+  /// @brief Sets the begin of the time limit that the daemons have agreed on. A daemon that starts during the
+  /// trial can't know it by itself. Once agreed, it only moves to an earlier time.
+  /// @param BegunAt when the first daemon read the order, by this daemon's clock
+  void agreeOnBegin(TimePoint BegunAt);
+  /// @return the begin of the time limit, as far as it is known
+  TimePoint begunAt() const { return m_BegunAt; }
+
   /// @brief Applies the daemons' common decision.
   void setState(TrialState State) { m_State = State; }
   /// @brief Records that the daemons' common decisions have been read since the order was. Before that, no
@@ -69,7 +76,9 @@
   /// @brief Records that an upstream of the new version is registered. The exposure limit is a share of all
   /// requests since the order. So the later the first upstream is registered, the larger a share of the
   /// remaining requests the version gets.
-  void onUpstreamRegistered(TimePoint Now);
+  /// @param At when it was registered; nothing if it was so before this daemon looked, since the order at
+  /// worst
+  void onUpstreamRegistered(std::optional<TimePoint> At);
   /// @brief Counts the result of an attempt: on the new version, as evidence; on the old one, towards its
   /// share of bad responses and its baseline latency.
   void record(const TrialSample &Sample);
@@ -77,7 +86,8 @@
   /// @brief Determines the versions that a request may run on.
   /// @param RequestHash hash of the request or its session, uniform over 0..2^64-1
   /// @param InSession whether the request belongs to a session. Sessions stay on the old version in the first
-  /// half of the time limit; to compensate, the new version gets a larger share of the requests.
+  /// half of the time limit, and while its begin isn't agreed; to compensate, the new version gets a larger
+  /// share of the requests.
   VersionRule ruleFor(std::uint64_t RequestHash, bool InSession, TimePoint Now);
 
   /// @return this daemon's decision at this time: rolled back if there is enough evidence against the new
@@ -138,17 +148,19 @@
   bool hasEnoughGoodResponses() const;
   /// @return elapsed share of the time limit
   double elapsedTimeShare(TimePoint Now) const;
+  bool isBeforeSessionSwitch(TimePoint Now) const;
   /// @return share of the requests that runs on the new version, at each daemon
   double trialShare() const;
 
   TrialOrder m_Order;
   double m_ExposureLimit;
-  TimePoint m_SeenAt;
+  TimePoint m_BegunAt;
+  bool m_BeginAgreed = false;
   TrialState m_State = TrialState::Running;
   bool m_DecisionsRead = false;
-  /// Elapsed share of the time limit at the new version's first upstream.
-  double m_FirstUpstreamTimeShare = 0.0;
   bool m_HasUpstream = false;
+  /// When the new version's first upstream was registered; nothing if it counts from the begin.
+  std::optional<TimePoint> m_FirstUpstreamAt;
   bool m_HasSessions = false; ///< Whether any request belonged to a session.
   std::map<std::pair<RouteName, ModelId>, LatencyBaseline> m_OldBaseline;
   std::map<RouteName, Tally> m_Tallies; ///< The empty name stands for all routes together.
--- a/packages/forward/src/version_trial.cpp
+++ b/packages/forward/src/version_trial.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace bulrushpitch {
 
@@ -57,7 +58,12 @@
 }
 
 VersionTrial::VersionTrial(TrialOrder Order, double ExposureLimit, TimePoint SeenAt)
-    : m_Order(std::move(Order)), m_ExposureLimit(ExposureLimit), m_SeenAt(SeenAt) {}
+    : m_Order(std::move(Order)), m_ExposureLimit(ExposureLimit), m_BegunAt(SeenAt) {}
+
+void VersionTrial::agreeOnBegin(TimePoint BegunAt) {
+  m_BegunAt = m_BeginAgreed ? std::min(m_BegunAt, BegunAt) : BegunAt;
+  m_BeginAgreed = true;
+}
 
 bool VersionTrial::isSlow(const TrialSample &Sample) const {
   const auto Baseline = m_OldBaseline.find({Sample.m_Route, Sample.m_Model});
@@ -89,16 +95,16 @@
          Order.m_TimeLimit == m_Order.m_TimeLimit;
 }
 
-void VersionTrial::onUpstreamRegistered(TimePoint Now) {
-  if (m_HasUpstream)
-    return;
-  m_HasUpstream = true;
-  m_FirstUpstreamTimeShare = elapsedTimeShare(Now);
+void VersionTrial::onUpstreamRegistered(std::optional<TimePoint> At) {
+  if (!std::exchange(m_HasUpstream, true))
+    m_FirstUpstreamAt = At;
 }
 
 double VersionTrial::trialShare() const {
+  const double UpstreamTimeShare =
+      m_FirstUpstreamAt ? std::max(0.0, elapsedTimeShare(*m_FirstUpstreamAt)) : 0.0;
   const double StartTimeShare =
-      m_HasSessions ? std::max(m_FirstUpstreamTimeShare, SessionSwitchTimeShare) : m_FirstUpstreamTimeShare;
+      m_HasSessions ? std::max(UpstreamTimeShare, SessionSwitchTimeShare) : UpstreamTimeShare;
   const double TrialTimeShare = CompletionTimeShare - StartTimeShare;
   // A version that turns bad under the full load gets all requests from its completion to the time limit.
   const double ExposureBeforeCompletion = m_ExposureLimit * UsedExposureShare - (1.0 - CompletionTimeShare);
@@ -212,7 +218,7 @@
     Rule.m_RequiredVersion = m_Order.m_TargetVersion;
     return Rule;
   }
-  const bool SessionStays = InSession && elapsedTimeShare(Now) < SessionSwitchTimeShare;
+  const bool SessionStays = InSession && isBeforeSessionSwitch(Now);
   const double Share = trialShare();
   const bool RunsOnNew = m_State == TrialState::Running && m_DecisionsRead && !isBad(Now) && !SessionStays &&
                          static_cast<double>(RequestHash) / HashRange < Share;
@@ -226,7 +232,11 @@
 }
 
 double VersionTrial::elapsedTimeShare(TimePoint Now) const {
-  return secondsOf(Now - m_SeenAt) / secondsOf(m_Order.m_TimeLimit);
+  return secondsOf(Now - m_BegunAt) / secondsOf(m_Order.m_TimeLimit);
+}
+
+bool VersionTrial::isBeforeSessionSwitch(TimePoint Now) const {
+  return !m_BeginAgreed || elapsedTimeShare(Now) < SessionSwitchTimeShare;
 }
 
 bool VersionTrial::hasEnoughGoodResponses() const {
--- a/packages/forward/tests/version_trial_test.cpp
+++ b/packages/forward/tests/version_trial_test.cpp
@@ -16,7 +16,10 @@
 namespace {
 
 struct Fixture {
-  Fixture() { m_Trial.confirmDecisionsRead(); }
+  Fixture() {
+    m_Trial.confirmDecisionsRead();
+    m_Trial.agreeOnBegin(m_Start);
+  }
 
   void recordSample(bool OnNewVersion, bool Failed, milliseconds Latency = milliseconds(100),
                     const std::string &Route = "ask") {
@@ -76,6 +79,33 @@
   CHECK(Unconfirmed.verdict(TimePoint{} + seconds(24)) == TrialState::Running);
 }
 
+// Guards against sessions that go back to the old version at a daemon that was restarted during the trial.
+TEST_CASE_FIXTURE(Fixture,
+                  "a session runs on the same version at a daemon that has started during the trial") {
+  m_Trial.onUpstreamRegistered(m_Start + seconds(1));
+  for (int Start = 1; Start < 22; ++Start) {
+    const TimePoint StartedAt = m_Start + seconds(Start);
+    VersionTrial Restarted(m_Trial.order(), 0.15, StartedAt);
+    Restarted.confirmDecisionsRead();
+    Restarted.onUpstreamRegistered(std::nullopt);
+    CHECK_FALSE(Restarted.ruleFor(0, true, StartedAt + seconds(20)).m_RequiredVersion);
+    Restarted.agreeOnBegin(m_Start);
+    for (int Number = 0; Number < 500; ++Number) {
+      const std::uint64_t Session = mixHash(static_cast<std::uint64_t>(Number), 5);
+      const TimePoint Now = StartedAt + milliseconds(3 * Number);
+      CHECK(Restarted.ruleFor(Session, true, Now).m_RequiredVersion ==
+            m_Trial.ruleFor(Session, true, Now).m_RequiredVersion);
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "the agreed begin of a trial never moves to a later time") {
+  m_Trial.agreeOnBegin(m_Start + seconds(5));
+  CHECK(m_Trial.begunAt() == m_Start);
+  m_Trial.agreeOnBegin(m_Start - seconds(1));
+  CHECK(m_Trial.begunAt() == m_Start - seconds(1));
+}
+
 TEST_CASE_FIXTURE(Fixture, "a version that fails a third of its requests is rolled back after few failures") {
   for (int Response = 0; Response < 100; ++Response)
     recordSample(false, false);
@@ -256,6 +286,7 @@
                   "in the second half of the time limit, all daemons send a session to the same version") {
   VersionTrial Other(m_Trial.order(), 0.15, m_Start + milliseconds(30));
   Other.confirmDecisionsRead();
+  Other.agreeOnBegin(m_Start);
   for (std::uint64_t Session = 0; Session < 1000; ++Session) {
     const std::uint64_t Key = mixHash(Session, 9);
     const TimePoint Now = m_Start + seconds(14);
--- a/packages/gateway/src/rollout_coordinator.cpp
+++ b/packages/gateway/src/rollout_coordinator.cpp
@@ -18,6 +18,11 @@
 constexpr Duration TrialWriteRetryInterval = milliseconds(700);
 constexpr Duration EvidencePublishInterval = milliseconds(800);
 
+/// @return whether a status says when the daemons first read this order
+bool hasBegin(const TrialStatus &Status, const TrialOrder &Order) {
+  return Status.m_BegunAt && Status.m_OrderVersion == Order.m_OrderVersion;
+}
+
 std::string_view nameOf(TrialState State) {
   switch (State) {
   case TrialState::Running:
@@ -94,10 +99,11 @@
   m_UnconfirmedOrders.erase(Service);
 }
 
-void RolloutCoordinator::recordUpstream(const RegisteredUpstream &Entry, TimePoint Now) {
+void RolloutCoordinator::recordUpstream(const RegisteredUpstream &Entry,
+                                        std::optional<TimePoint> RegisteredAt) {
   VersionTrial *Trial = m_State.trialOf(Entry.m_Service);
   if (Trial && Entry.m_Version == Trial->order().m_TargetVersion)
-    Trial->onUpstreamRegistered(Now);
+    Trial->onUpstreamRegistered(RegisteredAt);
 }
 
 bool RolloutCoordinator::isOrderConfirmed(const ServiceId &Service) const {
@@ -131,7 +137,10 @@
       Status.m_TargetVersion != Trial->order().m_TargetVersion ||
       Status.m_RowVersion < Trial->order().m_OrderVersion)
     return;
-  m_StoredStates[Status.m_Service] = Status.m_State;
+  agreeOnBegin(*Trial, Status);
+  // A running trial whose begin isn't stored would begin anew at each daemon that starts.
+  if (Status.m_State != TrialState::Running || hasBegin(Status, Trial->order()))
+    m_StoredStates[Status.m_Service] = Status.m_State;
   // A decision is final: a status that says otherwise comes from a restored store.
   if (Trial->state() == Status.m_State || Status.m_State == TrialState::Running)
     return;
@@ -142,6 +151,24 @@
              {"state", nameOf(Status.m_State)}});
 }
 
+void RolloutCoordinator::agreeOnBegin(VersionTrial &Trial, const TrialStatus &Status) {
+  const std::optional<Duration> StoreTime = m_Store.storeTime();
+  if (!StoreTime || !hasBegin(Status, Trial.order()))
+    return;
+  const Duration Age = std::max(Duration::zero(), *StoreTime - *Status.m_BegunAt);
+  Trial.agreeOnBegin(m_Clock() - Age);
+}
+
+TrialStatus RolloutCoordinator::makeStatus(const VersionTrial &Trial, TrialState State) const {
+  const TrialOrder &Order = Trial.order();
+  const auto Version = m_StatusRowVersions.find(Order.m_Service);
+  TrialStatus Status{Order.m_Service, Order.m_TargetVersion, State,
+                     Version == m_StatusRowVersions.end() ? 0 : Version->second, Order.m_OrderVersion};
+  if (const std::optional<Duration> StoreTime = m_Store.storeTime())
+    Status.m_BegunAt = *StoreTime - (m_Clock() - Trial.begunAt());
+  return Status;
+}
+
 void RolloutCoordinator::apply(const EvidenceChanges &Changes) {
   for (const TrialEvidence &Evidence : Changes.m_Updated) {
     VersionTrial *Trial = m_State.trialOf(Evidence.m_Service);
@@ -203,9 +230,8 @@
   if (Now < m_NextTrialWriteAt)
     return;
   m_TrialWriteInProgress = true;
-  const TrialStatus Status{Service, Trial.order().m_TargetVersion, Verdict, m_StatusRowVersions[Service]};
-  spawn(m_Context, writeStatus(shared_from_this(),
-                               StatusWrite{Status, Trial.evidence(), m_TrialNumbers[Service], m_Restores}));
+  spawn(m_Context, writeStatus(shared_from_this(), StatusWrite{makeStatus(Trial, Verdict), Trial.evidence(),
+                                                               m_TrialNumbers[Service], m_Restores}));
 }
 
 void RolloutCoordinator::publishEvidence(const ServiceId &Service, VersionTrial &Trial) {
@@ -256,6 +282,7 @@
   VersionTrial *Trial = m_State.trialOf(Status.m_Service);
   if (!Trial || m_TrialNumbers[Status.m_Service] != Write.m_TrialNumber)
     return;
+  agreeOnBegin(*Trial, Status);
   if (Trial->state() == TrialState::Running)
     Trial->setState(Status.m_State);
   // A write that began before a restore may have reached the store before or after it.
--- a/packages/gateway/src/rollout_coordinator.h
+++ b/packages/gateway/src/rollout_coordinator.h
@@ -33,7 +33,8 @@
 
   void applyOrder(const TrialOrder &Order);
   void withdrawOrder(const ServiceId &Service);
-  void recordUpstream(const RegisteredUpstream &Entry, TimePoint Now);
+  /// @param RegisteredAt nothing if the entry may have been there before this daemon looked
+  void recordUpstream(const RegisteredUpstream &Entry, std::optional<TimePoint> RegisteredAt);
   /// @brief Applies statuses. Ignored after a restore until the orders have been read, and then the full
   /// snapshot that takeStatusSnapshotNeeded() asked for: row versions before and after it don't compare.
   void apply(const TrialChanges &Changes);
@@ -65,6 +66,10 @@
   bool isOrderConfirmed(const ServiceId &Service) const;
   bool isStored(const ServiceId &Service, TrialState State) const;
   void applyStatus(const TrialStatus &Status);
+  /// Takes the begin of a trial over that the daemons have agreed on.
+  void agreeOnBegin(VersionTrial &Trial, const TrialStatus &Status);
+  /// @return the status to write
+  TrialStatus makeStatus(const VersionTrial &Trial, TrialState State) const;
   void onStatusWritten(const StatusWrite &Write);
   void writeStatusIfDue(const ServiceId &Service, const VersionTrial &Trial);
   void publishEvidence(const ServiceId &Service, VersionTrial &Trial);
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -72,7 +72,7 @@
   else
     m_State.m_Pool.replaceAll(Changes.m_Updated, Now, Grace);
   for (const RegisteredUpstream &Entry : Changes.m_Updated)
-    m_Rollouts.recordUpstream(Entry, Now);
+    m_Rollouts.recordUpstream(Entry, std::nullopt);
   m_State.m_RegistryRead = true;
 }
 
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -55,14 +55,13 @@
     co_return unused();
   }
   asio::awaitable<Expected<Done>> writePromptEvidence(PromptEvidence) override { co_return unused(); }
-  asio::awaitable<Expected<Done>> registerDaemon(InstanceId, std::optional<DaemonContact>) override {
-    co_return unused();
-  }
+  asio::awaitable<Expected<Done>> registerDaemon(InstanceId, std::optional<DaemonContact>) override { co_return unused(); }
   std::optional<Duration> shortestCall() const override { return std::nullopt; }
-  std::optional<Duration> storeTime() const override { return std::nullopt; }
+  std::optional<Duration> storeTime() const override { return m_StoreTime; }
   asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon) override { co_return unused(); }
   asio::awaitable<Expected<std::vector<ListedDaemon>>> readDaemons() override { co_return unused(); }
 
+  Duration m_StoreTime{};
   bool m_HoldsWrites = false;
   bool m_RejectsWrites = false;
   std::vector<TrialStatus> m_Statuses;   ///< Written, in this order.
@@ -78,8 +77,12 @@
   return TrialOrder{TestService, VersionId(Version), seconds(100), OrderVersion};
 }
 
+/// The store's clock when the order of a test is given.
+constexpr Duration StoreTimeAtOrder = seconds(5000);
+
 struct Fixture {
   Fixture() {
+    m_Store.m_StoreTime = StoreTimeAtOrder;
     GatewaySettings Settings;
     Settings.m_Instance = InstanceId("d0");
     Settings.m_Domain = DomainId("west-a");
@@ -92,11 +95,17 @@
 
   VersionTrial &trial() { return *m_State->trialOf(TestService); }
 
+  /// Lets time pass for this daemon and for the store, whose clocks differ.
+  void advance(Duration Interval) {
+    m_Now += Interval;
+    m_Store.m_StoreTime += Interval;
+  }
+
   /// Runs the periodic calls of an interval.
   void run(Duration Interval) {
     constexpr Duration TickInterval = milliseconds(200);
     for (Duration Elapsed{}; Elapsed < Interval; Elapsed += TickInterval) {
-      m_Now += TickInterval;
+      advance(TickInterval);
       m_Rollouts->onTick();
       m_Context.restart();
       m_Context.run_for(m_Store.m_HoldsWrites ? milliseconds(3) : milliseconds(100));
@@ -125,8 +134,8 @@
     m_Rollouts->apply(Changes);
   }
 
-  static TrialStatus statusOf(TrialState State, std::uint64_t RowVersion) {
-    return TrialStatus{TestService, VersionId("v2"), State, RowVersion};
+  static TrialStatus statusOf(TrialState State, std::uint64_t RowVersion, std::uint64_t OrderVersion = 20) {
+    return TrialStatus{TestService, VersionId("v2"), State, RowVersion, OrderVersion, StoreTimeAtOrder};
   }
 
   /// An order of version 20 whose status is in the store.
@@ -161,6 +170,51 @@
 
 } // namespace
 
+// Guards against sessions that go back to the old version: a daemon that is restarted during a rollout took
+// it for just begun.
+TEST_CASE_FIXTURE(Fixture, "a daemon that starts during a rollout takes its begin from the status") {
+  advance(seconds(60));
+  startTrial();
+  CHECK(trial().begunAt() == m_Now - seconds(60));
+  CHECK(trial().ruleFor(0, true, m_Now).m_RequiredVersion == VersionId("v2"));
+  run(seconds(1));
+  CHECK(m_Store.m_Statuses.empty());
+}
+
+// Guards against a begin that no later daemon can know.
+TEST_CASE_FIXTURE(Fixture, "the status of a rollout says when its order was first read") {
+  readOrders({orderTo("v2", 20)});
+  readStatuses({});
+  advance(seconds(10));
+  run(milliseconds(200));
+  REQUIRE(m_Store.m_Statuses.size() == 1);
+  CHECK(m_Store.m_Statuses.front().m_OrderVersion == 20);
+  CHECK(m_Store.m_Statuses.front().m_BegunAt == StoreTimeAtOrder);
+}
+
+// Guards against sessions that move at one daemon before the others, and back when it is restarted.
+TEST_CASE_FIXTURE(Fixture, "sessions stay on the old version while the begin of the rollout isn't stored") {
+  m_Store.m_RejectsWrites = true;
+  readOrders({orderTo("v2", 20)});
+  TrialStatus Unknown = statusOf(TrialState::Running, 21);
+  SUBCASE("no status") { readStatuses({}); }
+  SUBCASE("a status without the begin") {
+    Unknown.m_BegunAt.reset();
+    readStatuses({Unknown});
+  }
+  SUBCASE("the begin of another order") {
+    Unknown.m_OrderVersion = 19;
+    readStatuses({Unknown});
+  }
+  run(seconds(60));
+  CHECK_FALSE(trial().ruleFor(0, true, m_Now).m_RequiredVersion);
+  CHECK(trial().ruleFor(0, false, m_Now).m_RequiredVersion == VersionId("v2"));
+  m_Store.m_RejectsWrites = false;
+  run(seconds(1));
+  CHECK(m_Store.m_Statuses.back().m_BegunAt == StoreTimeAtOrder);
+  CHECK(trial().ruleFor(0, true, m_Now).m_RequiredVersion == VersionId("v2"));
+}
+
 // Guards against exposure and decisions that are forgotten when the operator writes its orders again.
 // Guards against a rollout that goes on because its order was removed between two snapshots.
 TEST_CASE_FIXTURE(Fixture,
