--- a/packages/forward/include/bulrushpitch/forward/daemon_membership.h
+++ b/packages/forward/include/bulrushpitch/forward/daemon_membership.h
@@ -28,6 +28,16 @@
   std::uint64_t m_RowVersion = 0;           ///< Increases with each heartbeat.
   StoreEra m_Era{};                         ///< Era in which the row was read.
   std::optional<DaemonContact> m_Contact{}; ///< Empty if the daemon answers no others.
+  /// Time from the heartbeat to the reading of the list, by the store's clock; empty if not known.
+  std::optional<Duration> m_HeartbeatAge{};
+  bool m_Counted = false; ///< Whether all others had read of it by the heartbeat; see JoinProgress.
+};
+
+/// @brief What a daemon writes into its row.
+struct DaemonHeartbeat {
+  InstanceId m_Id;
+  std::optional<DaemonContact> m_Contact; ///< Where it answers other daemons; nothing if it does not.
+  bool m_Counted = false;                 ///< As in ListedDaemon.
 };
 
 /// @brief Tracks which of the listed daemons are alive, by their heartbeats.
@@ -38,6 +48,9 @@
 /// daemon may be cut off, so that its share is not given to others meanwhile. Not thread-safe.
 class DaemonMembership {
 public:
+  /// Three heartbeat intervals, plus a margin for a slow store.
+  static constexpr Duration HeartbeatTimeout = std::chrono::seconds(100);
+
   /// @brief Applies the list of daemons as read from the store; daemons that are not listed are forgotten,
   /// except those that a restored store may have lost.
   void update(const std::vector<ListedDaemon> &Listed, TimePoint Now);
--- a/packages/forward/include/bulrushpitch/forward/placement.h
+++ b/packages/forward/include/bulrushpitch/forward/placement.h
@@ -49,6 +49,8 @@
   /// Number of the current epoch, about the same at all daemons. The shares of limits that are too small for
   /// all daemons pass to others with each epoch.
   std::uint64_t m_ShareEpoch = 0;
+  /// Whether this daemon has shares of the limits that all daemons have in common; see JoinProgress.
+  bool m_HasLimitShares = true;
 };
 
 /// @brief Ranks the daemons by a hash with a key; all daemons compute the same order without communication.
--- a/packages/forward/include/bulrushpitch/forward/upstream_notices.h
+++ b/packages/forward/include/bulrushpitch/forward/upstream_notices.h
@@ -27,6 +27,7 @@
   std::uint32_t m_Daemons = 1; ///< Number of all daemons.
   /// Rank of this daemon for the upstream in the current epoch, from 0. With another epoch come other ranks.
   std::uint32_t m_Rank = 0;
+  bool m_HasShare = true; ///< Whether this daemon may use its share; see JoinProgress.
 };
 
 /// @return requests that this daemon may send in any four seconds
--- a/packages/forward/src/daemon_membership.cpp
+++ b/packages/forward/src/daemon_membership.cpp
@@ -2,13 +2,6 @@
 
 namespace bulrushpitch {
 
-namespace {
-
-/// Three heartbeat intervals, plus a margin for a slow store.
-constexpr Duration HeartbeatTimeout = std::chrono::seconds(100);
-
-} // namespace
-
 void DaemonMembership::update(const std::vector<ListedDaemon> &Listed, TimePoint Now) {
   std::map<InstanceId, Heartbeat> Updated;
   for (const ListedDaemon &Entry : Listed) {
--- a/packages/forward/src/placement.cpp
+++ b/packages/forward/src/placement.cpp
@@ -57,6 +57,8 @@
 /// @return this daemon's share of a cold upstream's rate limit
 RequestRate ownColdLimit(const PooledUpstream &Candidate, const PlacementQuery &Query,
                          const PlacementContext &Context) {
+  if (!Context.m_HasLimitShares)
+    return {0, std::chrono::seconds(1)};
   const std::uint32_t Rank = daemonRank(Candidate.m_Entry.m_Id.value(), Context);
   return {shareOfColdLimit(Query.m_ColdRequestsPerSecond, daemonCount(Context), Rank),
           std::chrono::seconds(1)};
@@ -65,7 +67,7 @@
 /// @return this daemon's share of the limits that the upstream names
 NamedLimitShare ownLimitShare(const PooledUpstream &Candidate, const PlacementContext &Context) {
   const std::string Key = Candidate.m_Entry.m_Id.value() + "/" + std::to_string(Context.m_ShareEpoch);
-  return {daemonCount(Context), daemonRank(Key, Context)};
+  return {daemonCount(Context), daemonRank(Key, Context), Context.m_HasLimitShares};
 }
 
 /// @return when the upstream takes a request of this daemon, by what it said in its answers; nothing if this
--- a/packages/forward/src/upstream_notices.cpp
+++ b/packages/forward/src/upstream_notices.cpp
@@ -24,6 +24,8 @@
 } // namespace
 
 std::uint32_t shareOfNamedLimit(double RequestsPerSecond, const NamedLimitShare &Share) {
+  if (!Share.m_HasShare)
+    return 0;
   const double Daemons = std::max(1U, Share.m_Daemons);
   const double Limit = std::clamp(RequestsPerSecond * LimitWindowSeconds, 0.0, MaxRequestsPerWindow);
   const double Wanted = std::max(1.0, std::floor(Limit));
--- a/packages/forward/tests/placement_test.cpp
+++ b/packages/forward/tests/placement_test.cpp
@@ -133,6 +133,28 @@
   CHECK(None.m_Rejection == PlacementRejection::AllTried);
 }
 
+// Guards against daemons that don't know each other and each take the whole limit of an upstream.
+TEST_CASE_FIXTURE(Fixture, "without shares of common limits no cold or limited upstream is chosen") {
+  m_Context.m_HasLimitShares = false;
+  m_Query.m_ColdRequestsPerSecond = 23.0;
+  UpstreamNotice Limited;
+  Limited.m_RequestLimit = 100.0;
+  for (int Index = 0; Index < 12; ++Index) {
+    PooledUpstream *Target = m_Pool.find(UpstreamId("u" + std::to_string(Index)));
+    if (Index < 6)
+      Target->m_ColdUntil = m_Now + std::chrono::seconds(100);
+    else if (Index < 11)
+      m_Pool.notices().record(Target->m_Entry, Limited, m_Now, m_Now);
+  }
+  for (std::uint64_t Key = 0; Key < 20; ++Key) {
+    m_Query.m_Affinity = Key;
+    m_Now += std::chrono::seconds(1);
+    const PooledUpstream *Chosen = choose();
+    REQUIRE(Chosen);
+    CHECK(Chosen->m_Entry.m_Id == UpstreamId("u11"));
+  }
+}
+
 // Guards against cold upstreams that are overloaded by the sum of all daemons' requests.
 TEST_CASE_FIXTURE(Fixture, "a cold upstream gets this daemon's share of its rate limit") {
   m_Query.m_ColdRequestsPerSecond = 23.0;
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -29,7 +29,9 @@
                                                        Settings.m_Region,
                                                        Settings.m_Instance,
                                                        {Settings.m_Instance}},
-        m_PromptQuarantine(Settings.m_Instance), m_Bounds(Settings.m_Bounds) {}
+        m_PromptQuarantine(Settings.m_Instance), m_Bounds(Settings.m_Bounds) {
+    m_PlacementContext.m_HasLimitShares = false;
+  }
 
   /// @return whether configuration and registry have been read, so that requests can be served
   bool isReady() const { return m_ConfigIndex && m_RegistryRead; }
@@ -57,6 +59,9 @@
   /// @brief Sets the list of daemons, and adjusts this daemon's share of the retry budgets. This daemon is
   /// added to the list if it is missing.
   void setDaemons(std::vector<InstanceId> Daemons);
+  /// @brief Sets whether this daemon has shares of the limits that all daemons have in common: those of cold
+  /// and limited upstreams, and the reserve of the retry budgets.
+  void setLimitShares(bool HasShares);
 
   std::shared_ptr<const ConfigIndex> m_ConfigIndex; ///< Null until a configuration has been read.
   std::optional<TimePoint> m_OrdersReadAt;          ///< When the store last confirmed the orders.
@@ -73,6 +78,7 @@
 private:
   GatewayBounds m_Bounds;
   double retryReserve() const;
+  void adjustRetryBudgets();
   std::map<ServiceId, RetryWindow> m_Budgets;
 };
 
--- a/packages/gateway/include/bulrushpitch/gateway/ports.h
+++ b/packages/gateway/include/bulrushpitch/gateway/ports.h
@@ -175,9 +175,7 @@
   /// @brief Replaces this daemon's published evidence on crashes; empty evidence withdraws it.
   virtual boost::asio::awaitable<Expected<Done>> writePromptEvidence(PromptEvidence Evidence) = 0;
   /// @brief Registers this daemon in the list of daemons, or sends its heartbeat if it is registered already.
-  /// @param Contact where it answers other daemons; nothing if it does not
-  virtual boost::asio::awaitable<Expected<Done>> registerDaemon(InstanceId Id,
-                                                                std::optional<DaemonContact> Contact) = 0;
+  virtual boost::asio::awaitable<Expected<Done>> registerDaemon(DaemonHeartbeat Heartbeat) = 0;
   /// @return the shortest time that a call other than a long poll has taken; nothing before the first one
   virtual std::optional<Duration> shortestCall() const = 0;
   /// @return the store's steady clock now, about the same at all daemons; nothing before the first answer
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -302,6 +302,7 @@
       m_State.m_PlacementContext.m_ShareEpoch = static_cast<std::uint64_t>(*StoreTime / ShareEpochTime);
     m_Orders.onTick();
     m_Log.flush();
+    m_Daemons->onTick();
     m_Rollouts->onTick();
     m_PromptEvidence->onTick();
     m_Follower->logSources();
--- a/packages/gateway/src/daemon_list.cpp
+++ b/packages/gateway/src/daemon_list.cpp
@@ -15,10 +15,12 @@
 constexpr Duration ListInterval = std::chrono::seconds(10);
 /// The list grows with the number of daemons, and each of them reads it.
 constexpr std::size_t DaemonsPerListInterval = 100;
+/// While the list can't be read; see JoinProgress::joinTime().
+constexpr int ListRetriesPerInterval = 5;
 /// After the first reading: daemons that start together see each other only in the next one.
 constexpr Duration SecondReadingPause = milliseconds(2000);
 constexpr Duration HeartbeatInterval = std::chrono::seconds(30);
-/// After a heartbeat that failed.
+/// After a heartbeat or a first reading that failed.
 constexpr Duration RetryInterval = milliseconds(800);
 /// Spreads the registrations of all daemons after a restore of the store.
 constexpr Duration MaxRegistrationPause = milliseconds(100);
@@ -38,38 +40,66 @@
 
 asio::awaitable<void> DaemonList::run(std::shared_ptr<DaemonList> Self) {
   // The others are known before this daemon reads anything large, and its calls are timed before it says
-  // whether it is near the store.
+  // whether it is near the store. Registering overwrites what the list says of the process before this one.
   co_await Self->readList();
+  while (!Self->m_Stopped && !Self->m_Join.listRead()) {
+    co_await sleepFor(Self->m_Context, RetryInterval);
+    co_await Self->readList();
+  }
   Duration Pause = SecondReadingPause;
   while (!Self->m_Stopped) {
-    const bool HeartbeatDue =
-        !Self->m_HeartbeatSentAt || Self->m_Clock() - *Self->m_HeartbeatSentAt >= HeartbeatInterval;
-    if (HeartbeatDue)
+    if (Self->isHeartbeatDue())
       co_await Self->sendHeartbeat();
-    co_await sleepFor(Self->m_Context,
-                      Self->m_HeartbeatSentAt ? std::exchange(Pause, Self->listInterval()) : RetryInterval);
+    co_await sleepFor(Self->m_Context, Self->m_HeartbeatSentAt ? Self->pauseAfter(Pause) : RetryInterval);
     co_await Self->readList();
   }
 }
 
+Duration DaemonList::pauseAfter(Duration &NextPause) const {
+  if (m_ListFailed)
+    return listInterval() / ListRetriesPerInterval;
+  return std::exchange(NextPause, listInterval());
+}
+
 Duration DaemonList::listInterval() const {
   const std::size_t Daemons = m_State.m_PlacementContext.m_Daemons.size();
   return ListInterval * std::max<std::size_t>(1, Daemons / DaemonsPerListInterval);
 }
 
+Duration DaemonList::maxListInterval() const {
+  const std::size_t Daemons = m_State.m_PlacementContext.m_Daemons.size();
+  return ListInterval * (Daemons / DaemonsPerListInterval + 1);
+}
+
+bool DaemonList::isCounted() const { return m_Join.isCounted(m_Clock(), maxListInterval()); }
+
+void DaemonList::onTick() { m_State.setLimitShares(isCounted()); }
+
+bool DaemonList::isHeartbeatDue() const {
+  return !m_HeartbeatSentAt || m_Clock() - *m_HeartbeatSentAt >= HeartbeatInterval ||
+         m_HeartbeatSaidCounted != isCounted();
+}
+
 asio::awaitable<void> DaemonList::sendHeartbeat() {
   const TimePoint Now = m_Clock();
-  const Expected<Done> Registered =
-      co_await m_Store.registerDaemon(m_State.m_PlacementContext.m_Instance, m_Contact());
+  // A local, because g++ 12 destroys an aggregate twice that is a temporary of the co_await expression.
+  DaemonHeartbeat Heartbeat{m_State.m_PlacementContext.m_Instance, m_Contact(), isCounted()};
+  const bool Counted = Heartbeat.m_Counted;
+  const Expected<Done> Registered = co_await m_Store.registerDaemon(std::move(Heartbeat));
   logFailure(m_Log, "heartbeat_failed", Registered);
-  if (Registered)
-    m_HeartbeatSentAt = Now;
+  if (!Registered)
+    co_return;
+  m_HeartbeatSentAt = Now;
+  m_HeartbeatSaidCounted = Counted;
+  m_Join.onRegistered(m_Clock());
 }
 
 asio::awaitable<void> DaemonList::readList() {
   const Expected<std::vector<ListedDaemon>> Listed = co_await m_Store.readDaemons();
   logFailure(m_Log, "daemons_not_read", Listed);
-  if (!Listed || isOutdated(*Listed)) {
+  m_ListFailed = !Listed || isOutdated(*Listed);
+  if (m_ListFailed) {
+    m_Join.onListFailed(m_Clock(), maxListInterval());
     m_OnList(m_Membership.aliveRows(m_Clock()));
     co_return;
   }
@@ -79,10 +109,20 @@
   else
     m_Membership.update(*Listed, m_Clock());
   m_State.setDaemons(m_Membership.alive(m_Clock()));
+  applyOwnRow(*Listed);
+  onTick();
   m_OnList(m_Membership.aliveRows(m_Clock()));
   co_await removeExpired(m_Membership.expired(m_Clock()));
 }
 
+void DaemonList::applyOwnRow(const std::vector<ListedDaemon> &Listed) {
+  const auto Own = std::find_if(Listed.begin(), Listed.end(), [this](const ListedDaemon &Daemon) {
+    return Daemon.m_Id == m_State.m_PlacementContext.m_Instance;
+  });
+  const bool IsListed = Own != Listed.end();
+  m_Join.onListRead(IsListed, IsListed && Own->m_Counted ? Own->m_HeartbeatAge : std::nullopt, m_Clock());
+}
+
 asio::awaitable<void> DaemonList::registerAgain(std::shared_ptr<DaemonList> Self) {
   const std::uint64_t Restores = Self->m_State.m_StoreEras.restores();
   Self->m_HeartbeatSentAt.reset();
--- a/packages/gateway/src/daemon_list.h
+++ b/packages/gateway/src/daemon_list.h
@@ -2,6 +2,7 @@
 #define BULRUSHPITCH_GATEWAY_SRC_DAEMON_LIST_H
 
 #include "bulrushpitch/forward/daemon_membership.h"
+#include "bulrushpitch/forward/join_progress.h"
 #include "bulrushpitch/gateway/event_log.h"
 #include "bulrushpitch/gateway/gateway_state.h"
 #include "bulrushpitch/gateway/ports.h"
@@ -33,19 +34,30 @@
 
   void start();
   void stop() { m_Stopped = true; }
+  /// @brief Gives this daemon its shares of the common limits once it is counted. Called periodically.
+  void onTick();
   /// @brief Called when the store has come back from an older copy: registers again, as the row may be lost
   /// and the others' shares of the common limits would grow.
   void onStoreRestored();
 
 private:
   static boost::asio::awaitable<void> run(std::shared_ptr<DaemonList> Self);
+  /// @param NextPause the next pause if the list was read; set to the one after it
+  Duration pauseAfter(Duration &NextPause) const;
   /// @return pause between two reads of the list, which grows with the number of daemons
   Duration listInterval() const;
+  /// @return the longest such pause at any daemon, whose list may have other daemons than this one's
+  Duration maxListInterval() const;
   static boost::asio::awaitable<void> registerAgain(std::shared_ptr<DaemonList> Self);
   boost::asio::awaitable<void> sendHeartbeat();
   boost::asio::awaitable<void> readList();
+  /// Takes what the list says of this daemon, or of the process before it.
+  void applyOwnRow(const std::vector<ListedDaemon> &Listed);
   /// @return whether the list was read before a restore of the store
   bool isOutdated(const std::vector<ListedDaemon> &Listed) const;
+  /// @return whether this daemon is counted by the others
+  bool isCounted() const;
+  bool isHeartbeatDue() const;
   /// @brief Removes the rows of expired daemons, on one daemon only. Otherwise the list of daemons would grow
   /// whenever daemons are replaced.
   boost::asio::awaitable<void> removeExpired(std::vector<ListedDaemon> Expired);
@@ -60,9 +72,12 @@
   ContactHook m_Contact;
   ListHook m_OnList;
   bool m_Stopped = false;
+  bool m_ListFailed = false; ///< Whether the latest read of the list failed.
   DaemonMembership m_Membership;
+  JoinProgress m_Join;
   std::optional<StoreEra> m_ListEra; ///< Era in which the list was last read.
   std::optional<TimePoint> m_HeartbeatSentAt;
+  bool m_HeartbeatSaidCounted = false; ///< What the latest heartbeat said.
 };
 
 } // namespace bulrushpitch
--- a/packages/gateway/src/gateway_state.cpp
+++ b/packages/gateway/src/gateway_state.cpp
@@ -1,6 +1,7 @@
 #include "bulrushpitch/gateway/gateway_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrushpitch {
 
@@ -14,6 +15,8 @@
 } // namespace
 
 double GatewayState::retryReserve() const {
+  if (!m_PlacementContext.m_HasLimitShares)
+    return 0.0;
   return m_Bounds.m_RetryReserve * UsedRetryReserveShare /
          static_cast<double>(m_PlacementContext.m_Daemons.size());
 }
@@ -31,6 +34,15 @@
   if (std::find(Daemons.begin(), Daemons.end(), m_PlacementContext.m_Instance) == Daemons.end())
     Daemons.push_back(m_PlacementContext.m_Instance);
   m_PlacementContext.m_Daemons = std::move(Daemons);
+  adjustRetryBudgets();
+}
+
+void GatewayState::setLimitShares(bool HasShares) {
+  if (std::exchange(m_PlacementContext.m_HasLimitShares, HasShares) != HasShares)
+    adjustRetryBudgets();
+}
+
+void GatewayState::adjustRetryBudgets() {
   for (auto &Entry : m_Budgets)
     Entry.second.setLimits(m_Bounds.m_RetryShare * UsedRetryShare, retryReserve());
 }
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -111,8 +111,9 @@
   }
   std::optional<Duration> shortestCall() const override { return milliseconds(5); }
   std::optional<Duration> storeTime() const override { return std::nullopt; }
-  asio::awaitable<Expected<Done>> registerDaemon(InstanceId, std::optional<DaemonContact>) override {
+  asio::awaitable<Expected<Done>> registerDaemon(DaemonHeartbeat Heartbeat) override {
     ++m_Heartbeats;
+    m_LastHeartbeat = std::move(Heartbeat);
     if (m_Unavailable)
       co_return unavailable();
     co_return Done{};
@@ -122,6 +123,8 @@
     co_return Done{};
   }
   asio::awaitable<Expected<std::vector<ListedDaemon>>> readDaemons() override {
+    if (m_DaemonsUnreadable)
+      co_return unavailable();
     if (!m_Daemons.empty())
       co_return m_Daemons;
     std::vector<ListedDaemon> Listed{{InstanceId("d0"), 1, m_Era}, {InstanceId("d1"), 2, m_Era}};
@@ -137,6 +140,7 @@
   bool m_HistoryLost = false;
   bool m_RejectsWrites = false;
   bool m_TrialsUnreadable = false;
+  bool m_DaemonsUnreadable = false;
   int m_OrderReads = 0;
   int m_UpstreamCalls = 0;
   std::uint64_t m_Cursor = 10;
@@ -156,6 +160,7 @@
   std::vector<PromptEvidence> m_WrittenPromptEvidence; ///< By this daemon.
   Duration m_CrashWatchTimeout{};
   int m_Heartbeats = 0;
+  DaemonHeartbeat m_LastHeartbeat;
   int m_DaemonRemovals = 0;
   /// Called before each write of evidence on crashes.
   std::function<void()> m_OnPromptEvidenceWrite = [] {};
@@ -679,6 +684,38 @@
   CHECK(m_Store.m_WrittenTrials[WritesBefore].m_RowVersion == 0);
 }
 
+// Guards against daemons that each take the whole of a common limit, as they started while the store was down
+// or have just registered.
+TEST_CASE_FIXTURE(Fixture,
+                  "a daemon registers after it has read the list, and has shares once it is counted") {
+  const ListedDaemon Other{InstanceId("d1"), 2, StoreEra(1), std::nullopt, std::chrono::seconds(3)};
+  m_Store.m_DaemonsUnreadable = true;
+  start();
+  runFor(milliseconds(1000));
+  CHECK(m_Store.m_Heartbeats == 0);
+  CHECK_FALSE(m_State->m_PlacementContext.m_HasLimitShares);
+  m_Store.m_DaemonsUnreadable = false;
+  SUBCASE("restarted") {
+    m_Store.m_Daemons = {{InstanceId("d0"), 1, StoreEra(1), std::nullopt, std::chrono::seconds(20), true},
+                         Other};
+    runFor(milliseconds(1200));
+    CHECK(m_Store.m_Heartbeats == 1);
+    CHECK(m_State->m_PlacementContext.m_HasLimitShares);
+  }
+  SUBCASE("new") {
+    m_Store.m_Daemons = {Other};
+    runFor(milliseconds(1200));
+    CHECK(m_Store.m_Heartbeats == 1);
+    CHECK_FALSE(m_State->m_PlacementContext.m_HasLimitShares);
+    m_ClockAdvance += std::chrono::seconds(11);
+    runFor(milliseconds(500));
+    CHECK_FALSE(m_State->m_PlacementContext.m_HasLimitShares);
+    m_ClockAdvance += std::chrono::seconds(4);
+    runFor(milliseconds(500));
+    CHECK(m_State->m_PlacementContext.m_HasLimitShares);
+  }
+}
+
 // Guards against removing a daemon whose row was written again under the expected version.
 TEST_CASE_FIXTURE(Fixture, "an expired daemon is not removed on a row version of an older era") {
   bool Restored = false;
--- a/packages/gateway/tests/forwarder_fixture.h
+++ b/packages/gateway/tests/forwarder_fixture.h
@@ -127,6 +127,7 @@
     Settings.m_Bounds.m_RetryShare = 1.0;
     Settings.m_Bounds.m_RetryReserve = 100.0;
     m_State.emplace(Settings);
+    m_State->setLimitShares(true);
     m_Log.emplace(
         systemClock(), systemWallClock(),
         [this](std::string_view Text) {
--- a/packages/gateway/tests/rollout_coordinator_test.cpp
+++ b/packages/gateway/tests/rollout_coordinator_test.cpp
@@ -55,7 +55,7 @@
     co_return unused();
   }
   asio::awaitable<Expected<Done>> writePromptEvidence(PromptEvidence) override { co_return unused(); }
-  asio::awaitable<Expected<Done>> registerDaemon(InstanceId, std::optional<DaemonContact>) override { co_return unused(); }
+  asio::awaitable<Expected<Done>> registerDaemon(DaemonHeartbeat) override { co_return unused(); }
   std::optional<Duration> shortestCall() const override { return std::nullopt; }
   std::optional<Duration> storeTime() const override { return m_StoreTime; }
   asio::awaitable<Expected<Done>> removeDaemon(ListedDaemon) override { co_return unused(); }
