Fix: a head that keeps coming in pieces could outlive the read timeout

Found by reading the new bufferHead() again: a read that completes just at the deadline isn't cancelled, so that a loop of reads has to check m_Expired between them, as the other loops do.

--- a/packages/net/src/connection.cpp
+++ b/packages/net/src/connection.cpp
@@ -159,6 +159,8 @@
 asio::awaitable<error_code> Connection::bufferHead() {
   error_code Code;
   while (!Code) {
+    if (m_Watched.m_Expired)
+      co_return asio::error::operation_aborted;
     const asio::const_buffer Arrived = m_Buffer.data();
     const std::string_view Bytes(static_cast<const char *>(Arrived.data()), Arrived.size());
     const HeadProgress Progress = findHeadEnd(Bytes);
