Fix: a restarted daemon repeats as if nothing had been repeated before (BUDGET)

Callers saw: nothing by themselves; while engines fail, repeats pile up beyond 0.9 x requests + 56 in ten seconds whenever daemons are restarted.

Cause: the window of retries lived in the process. A restarted daemon began with an empty window, while the rule's window still held what the process before it had sent.

Change: a daemon that stops in order writes what it has used into its row, and the next process under its id goes on with that. After a kill nothing is known, so nothing is repeated for the length of a window. Charged retries are counted by cause, and the window is a metric.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -8,6 +8,7 @@
 #include "bulrushpitch/rpc/rpc.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrushpitch {
 
@@ -21,6 +22,8 @@
 constexpr Duration DrainAcceptTime = milliseconds(2600);
 /// Between the end of the drain and the end of the grace period, when the process is killed.
 constexpr Duration KillMargin = milliseconds(500);
+/// Kept at the end for the write that hands over to the next process.
+constexpr Duration HandOverTime = milliseconds(500);
 constexpr Duration DrainCheckInterval = milliseconds(50);
 constexpr Duration SampleInterval = std::chrono::seconds(5);
 /// A link that carries a large configuration to some thirty daemons within a few hundred milliseconds.
@@ -132,10 +135,28 @@
         .set(static_cast<double>(m_State.m_Pool.size()));
     m_Metrics.gauge("bulrushpitch_quarantined_prompt_parts_count", "Parts of prompts in quarantine.")
         .set(static_cast<double>(m_State.m_PromptQuarantine.quarantined().size()));
+    sampleRetryBudgets();
     m_Metrics.gauge("bulrushpitch_log_lines_dropped_count", "Log lines that were left out.")
         .set(static_cast<double>(m_Log.dropped()));
   }
 
+  void sampleRetryBudgets() {
+    for (const ServiceRetryUse::value_type &Service : m_State.retryUse(m_Clock())) {
+      RetryUse Sum;
+      for (const RetryUse &Use : Service.second) {
+        Sum.m_Requests += Use.m_Requests;
+        Sum.m_Retries += Use.m_Retries;
+      }
+      const MetricLabels Labels{{"service", Service.first.value()}};
+      m_Metrics
+          .gauge("bulrushpitch_retry_window_requests_count", "Requests in the retry budget's window.", Labels)
+          .set(Sum.m_Requests);
+      m_Metrics
+          .gauge("bulrushpitch_retry_window_retries_count", "Retries in the retry budget's window.", Labels)
+          .set(Sum.m_Retries);
+    }
+  }
+
   void checkDrained() {
     const Duration Elapsed = m_Clock() - *m_DrainStarted;
     const Duration Limit = durationOf(m_Settings.m_GracePeriod) - KillMargin;
@@ -148,7 +169,10 @@
       return;
     }
     const std::size_t Active = entry().activeRequests();
-    if (Active > 0 && Elapsed < Limit)
+    const bool Ends = Active == 0 || Elapsed >= Limit - HandOverTime;
+    if (Ends && !std::exchange(m_HandOverStarted, true))
+      control().handOver([this] { m_HandedOver = true; });
+    if ((Active > 0 || !m_HandedOver) && Elapsed < Limit)
       return;
     const std::size_t Answered = entry().answerUnanswered();
     m_Log.add(LogClass::State, "stopped",
@@ -178,6 +202,8 @@
   Ticker m_SampleTicker{m_Context, [] { return SampleInterval; }, [this] { sampleMetrics(); }};
   std::optional<TimePoint> m_DrainStarted;
   bool m_AcceptingEnded = false;
+  bool m_HandOverStarted = false;
+  bool m_HandedOver = false;
   int m_ExitCode = 1;
   PeerClient m_PeerClient{m_Context};
   std::optional<PeerServer> m_PeerServer;
--- a/packages/forward/include/bulrushpitch/forward/daemon_membership.h
+++ b/packages/forward/include/bulrushpitch/forward/daemon_membership.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpitch/core/clock.h"
 #include "bulrushpitch/core/ids.h"
+#include "bulrushpitch/forward/retry_window.h"
 #include "bulrushpitch/forward/store_era.h"
 #include "bulrushpitch/net/http_message.h"
 
@@ -31,6 +32,9 @@
   /// Time from the heartbeat to the reading of the list, by the store's clock; empty if not known.
   std::optional<Duration> m_HeartbeatAge{};
   bool m_Counted = false; ///< Whether all others had read of it by the heartbeat; see JoinProgress.
+  /// What the daemon had used of its retry budgets when it stopped, with the ages at the reading of the list;
+  /// empty if it hasn't stopped in order.
+  std::optional<ServiceRetryUse> m_FinalRetryUse{};
 };
 
 /// @brief What a daemon writes into its row.
@@ -38,6 +42,8 @@
   InstanceId m_Id;
   std::optional<DaemonContact> m_Contact; ///< Where it answers other daemons; nothing if it does not.
   bool m_Counted = false;                 ///< As in ListedDaemon.
+  /// Only with the last heartbeat before the daemon ends: what it has used of its retry budgets.
+  std::optional<ServiceRetryUse> m_FinalRetryUse{};
 };
 
 /// @brief Tracks which of the listed daemons are alive, by their heartbeats.
--- a/packages/forward/include/bulrushpitch/forward/retry_window.h
+++ b/packages/forward/include/bulrushpitch/forward/retry_window.h
@@ -2,12 +2,26 @@
 #define BULRUSHPITCH_FORWARD_RETRY_WINDOW_H
 
 #include "bulrushpitch/core/clock.h"
+#include "bulrushpitch/core/ids.h"
 
 #include <array>
 #include <cstdint>
+#include <map>
+#include <vector>
 
 namespace bulrushpitch {
 
+/// @brief Requests and retries of a short time, as counted by a retry budget.
+struct RetryUse {
+  Duration m_Age{}; ///< Time since the end of that time.
+  std::uint32_t m_Requests = 0;
+  std::uint32_t m_Retries = 0;
+  bool operator==(const RetryUse &) const = default;
+};
+
+/// @brief What a daemon has used of its retry budgets within their windows.
+using ServiceRetryUse = std::map<ServiceId, std::vector<RetryUse>>;
+
 /// @brief Retry budget: limits the retries in any sliding time window to a share of the requests in
 /// it, plus a constant. Escalations to a larger model count as retries.
 ///
@@ -20,6 +34,13 @@
   /// @param BaseRetries allowed retries per window in addition to these
   RetryWindow(Duration Window, double RetriesPerRequest, double BaseRetries);
 
+  /// @brief Allows no retry before this time.
+  void allowFrom(TimePoint Time) { m_AllowedFrom = Time; }
+  /// @return what was counted within the window
+  std::vector<RetryUse> use(TimePoint Now) const;
+  /// @brief Counts what another window has counted before, for example that of the process before this one.
+  /// @param Now the time from which the ages count
+  void restore(const std::vector<RetryUse> &Uses, TimePoint Now);
   /// @brief Changes the limits; the counts of requests and retries are kept.
   void setLimits(double RetriesPerRequest, double BaseRetries);
   /// @brief Counts a request that is not a retry.
@@ -44,11 +65,15 @@
     std::uint32_t m_Retries = 0;
   };
   std::int64_t bucketNumberAt(TimePoint Now) const { return Now.time_since_epoch() / m_BucketLength; }
+  /// @return the bucket of this time, emptied if it held an earlier one
   Bucket &bucketAt(TimePoint Now);
+  /// @return whether a bucket's retries count at this time
+  bool isInWindow(const Bucket &Candidate, TimePoint Now) const;
 
   Duration m_BucketLength;
   double m_RetriesPerRequest;
   double m_BaseRetries;
+  TimePoint m_AllowedFrom{};
   std::array<Bucket, BucketCount + 1> m_Buckets;
 };
 
--- a/packages/forward/src/retry_window.cpp
+++ b/packages/forward/src/retry_window.cpp
@@ -1,5 +1,7 @@
 #include "bulrushpitch/forward/retry_window.h"
 
+#include <algorithm>
+
 namespace bulrushpitch {
 
 RetryWindow::RetryWindow(Duration Window, double RetriesPerRequest, double BaseRetries)
@@ -21,16 +23,46 @@
 
 void RetryWindow::onRequest(TimePoint Now) { ++bucketAt(Now).m_Requests; }
 
+bool RetryWindow::isInWindow(const Bucket &Candidate, TimePoint Now) const {
+  return Candidate.m_Number >= 0 &&
+         bucketNumberAt(Now) - Candidate.m_Number <= static_cast<std::int64_t>(BucketCount);
+}
+
+std::vector<RetryUse> RetryWindow::use(TimePoint Now) const {
+  std::vector<RetryUse> Uses;
+  for (const Bucket &Counted : m_Buckets) {
+    if (!isInWindow(Counted, Now) || (Counted.m_Requests == 0 && Counted.m_Retries == 0))
+      continue;
+    const TimePoint End{m_BucketLength * (Counted.m_Number + 1)};
+    Uses.push_back({std::max(Duration::zero(), Now - End), Counted.m_Requests, Counted.m_Retries});
+  }
+  return Uses;
+}
+
+/// The ages are those of the ends of buckets: retries count at the latest time that they may have been made,
+/// requests at the earliest.
+void RetryWindow::restore(const std::vector<RetryUse> &Uses, TimePoint Now) {
+  const std::int64_t Oldest = bucketNumberAt(Now) - static_cast<std::int64_t>(BucketCount);
+  for (const RetryUse &Use : Uses) {
+    const TimePoint End = Now - Use.m_Age;
+    if (bucketNumberAt(End) >= Oldest)
+      bucketAt(End).m_Retries += Use.m_Retries;
+    if (bucketNumberAt(End - m_BucketLength) >= Oldest)
+      bucketAt(End - m_BucketLength).m_Requests += Use.m_Requests;
+  }
+}
+
 bool RetryWindow::allows(TimePoint Now, double ReservedShare) const {
+  if (Now < m_AllowedFrom)
+    return false;
   const std::int64_t Number = bucketNumberAt(Now);
   double Requests = 0.0;
   double Retries = 0.0;
   for (const Bucket &WindowBucket : m_Buckets) {
-    const std::int64_t Age = Number - WindowBucket.m_Number;
-    if (WindowBucket.m_Number < 0 || Age > static_cast<std::int64_t>(BucketCount))
+    if (!isInWindow(WindowBucket, Now))
       continue;
     Retries += WindowBucket.m_Retries;
-    if (Age < static_cast<std::int64_t>(BucketCount))
+    if (Number - WindowBucket.m_Number < static_cast<std::int64_t>(BucketCount))
       Requests += WindowBucket.m_Requests;
   }
   return Retries + 1.0 <= (m_RetriesPerRequest * Requests + m_BaseRetries) * (1.0 - ReservedShare);
--- a/packages/forward/tests/retry_window_test.cpp
+++ b/packages/forward/tests/retry_window_test.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <random>
 #include <vector>
 
 using namespace bulrushpitch;
@@ -75,3 +77,92 @@
   CHECK(Budget.takeRetry(Now));
   CHECK_FALSE(Budget.allows(Now));
 }
+
+namespace {
+
+constexpr Duration Window = seconds(10);
+constexpr double RetriesPerRequest = 0.9;
+constexpr double BaseRetries = 7.0;
+
+/// One daemon whose process ends and starts again; all requests want as many retries as they can get.
+class RestartedDaemon {
+public:
+  explicit RestartedDaemon(std::uint32_t Seed) : m_Random(Seed) {}
+
+  void run() {
+    while (m_Now < TimePoint{seconds(1060)}) {
+      m_Now += milliseconds(draw(0, 120));
+      m_Budget.onRequest(m_Now);
+      m_Requests.push_back(m_Now);
+      for (int Retry = draw(0, 3); Retry > 0; --Retry)
+        if (m_Budget.takeRetry(m_Now))
+          checkRetry();
+      if (draw(1, 60) == 1)
+        restart(draw(0, 1) == 0);
+    }
+  }
+
+private:
+  int draw(int Least, int Most) { return std::uniform_int_distribution<int>(Least, Most)(m_Random); }
+
+  /// @param InOrder whether the process could say what it has used
+  void restart(bool InOrder) {
+    const std::vector<RetryUse> Used = m_Budget.use(m_Now);
+    const TimePoint EndedAt = m_Now;
+    // What the process before used isn't known here either.
+    InOrder = InOrder && m_Now >= m_AllowedFrom;
+    m_Now += milliseconds(draw(0, 3000));
+    m_Budget = RetryWindow(Window, RetriesPerRequest, BaseRetries);
+    if (mechanismDisabled("retries-after-restart"))
+      return;
+    if (InOrder) {
+      m_Budget.restore(Used, EndedAt);
+      return;
+    }
+    m_AllowedFrom = m_Now + Window;
+    m_Budget.allowFrom(m_AllowedFrom);
+  }
+
+  void checkRetry() {
+    m_Retries.push_back(m_Now);
+    RC_ASSERT(static_cast<double>(countSince(m_Retries, m_Now - Window)) <=
+              RetriesPerRequest * static_cast<double>(countSince(m_Requests, m_Now - Window)) + BaseRetries);
+  }
+
+  static std::ptrdiff_t countSince(const std::vector<TimePoint> &Times, TimePoint Since) {
+    return Times.end() - std::upper_bound(Times.begin(), Times.end(), Since);
+  }
+
+  std::mt19937 m_Random;
+  TimePoint m_Now{seconds(1000)};
+  RetryWindow m_Budget{Window, RetriesPerRequest, BaseRetries};
+  TimePoint m_AllowedFrom{};
+  std::vector<TimePoint> m_Requests;
+  std::vector<TimePoint> m_Retries;
+};
+
+} // namespace
+
+// Guards against repeats beyond what is allowed: a process that was restarted began with a whole new budget,
+// while its requests of the seconds before had been repeated as often as they may be.
+TEST_CASE("no window contains more retries than its requests allow, however often the process is restarted") {
+  CHECK(rc::check([] {
+    RestartedDaemon Daemon(*rc::gen::arbitrary<std::uint32_t>());
+    Daemon.run();
+  }));
+}
+
+TEST_CASE("a window that takes over what another one has counted allows as much as that one") {
+  RetryWindow Before(Window, 0.5, 3.0);
+  const TimePoint Now{seconds(1000)};
+  for (int Request = 0; Request < 100; ++Request)
+    Before.onRequest(Now + milliseconds(20 * Request));
+  for (int Retry = 0; Retry < 40; ++Retry)
+    CHECK(Before.takeRetry(Now + seconds(2)));
+  RetryWindow After(Window, 0.5, 3.0);
+  After.restore(Before.use(Now + seconds(3)), Now + seconds(3));
+  int Granted = 0;
+  while (After.takeRetry(Now + seconds(4)))
+    ++Granted;
+  CHECK(Granted == 13);
+}
--- a/packages/gateway/include/bulrushpitch/gateway/control_service.h
+++ b/packages/gateway/include/bulrushpitch/gateway/control_service.h
@@ -45,6 +45,9 @@
   Result<void> start() override;
   void stop() override;
 
+  /// @brief Ends retries, and writes what the next process under this daemon's id must know of this one.
+  /// @param OnDone called once, when that is written or has failed
+  void handOver(std::function<void()> OnDone);
   /// @brief Answers a daemon that follows this one.
   /// @return error 602 if no table is known yet
   boost::asio::awaitable<Expected<PeerTableNewsList>> answerTableWatch(PeerTableWatch Watch);
--- a/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
+++ b/packages/gateway/include/bulrushpitch/gateway/gateway_state.h
@@ -40,6 +40,16 @@
     const auto Found = m_Trials.find(Id);
     return Found == m_Trials.end() ? nullptr : &Found->second;
   }
+  /// @brief Allows retries from this time on. Before the first call none is allowed.
+  void allowRetriesFrom(TimePoint Time);
+  bool allowsRetries(TimePoint Now) const { return Now >= m_RetriesAllowedFrom; }
+  /// @brief Counts what the process before this one has used of the retry budgets.
+  /// @param Now the time from which the ages count
+  void restoreRetryUse(const ServiceRetryUse &Used, TimePoint Now);
+  /// @return what this process has used of the retry budgets within their window
+  ServiceRetryUse retryUse(TimePoint Now) const;
+  /// @return window over which retries are limited
+  Duration retryWindow() const { return durationOf(m_Bounds.m_RetryWindow); }
   /// @return this daemon's share of the retry budget that all daemons have for the service
   RetryWindow &retryBudgetOf(const ServiceId &Id);
   /// @return limit on the requests per second that one cold upstream of the service may get from all daemons;
@@ -80,6 +90,7 @@
   double retryReserve() const;
   void adjustRetryBudgets();
   std::map<ServiceId, RetryWindow> m_Budgets;
+  TimePoint m_RetriesAllowedFrom = TimePoint::max();
 };
 
 } // namespace bulrushpitch
--- a/packages/gateway/src/control_service.cpp
+++ b/packages/gateway/src/control_service.cpp
@@ -109,6 +109,15 @@
     m_Ticker.stop();
   }
 
+  void startHandOver(std::function<void()> OnDone) {
+    spawn(m_Context, handOver(shared_from_this(), std::move(OnDone)));
+  }
+
+  static asio::awaitable<void> handOver(std::shared_ptr<Impl> Self, std::function<void()> OnDone) {
+    co_await Self->m_Daemons->handOver();
+    OnDone();
+  }
+
   asio::awaitable<Expected<PeerTableNewsList>> answerTableWatch(PeerTableWatch Watch) {
     return m_Relay.answer(std::move(Watch));
   }
@@ -342,6 +351,7 @@
   return {};
 }
 void ControlService::stop() { m_Impl->stop(); }
+void ControlService::handOver(std::function<void()> OnDone) { m_Impl->startHandOver(std::move(OnDone)); }
 asio::awaitable<Expected<PeerTableNewsList>> ControlService::answerTableWatch(PeerTableWatch Watch) {
   return m_Impl->answerTableWatch(std::move(Watch));
 }
--- a/packages/gateway/src/daemon_list.cpp
+++ b/packages/gateway/src/daemon_list.cpp
@@ -27,6 +27,8 @@
 /// Rank key that selects the daemon that removes the rows of expired daemons.
 constexpr std::string_view CleanupKey = "lapsed daemons";
 
+double inMilliseconds(Duration Value) { return std::chrono::duration<double, std::milli>(Value).count(); }
+
 } // namespace
 
 DaemonList::DaemonList(asio::io_context &Context, ControlStore &Store, GatewayState &State, EventLog &Log,
@@ -34,7 +36,10 @@
     : m_Context(Context), m_Store(Store), m_State(State), m_Log(Log), m_Clock(std::move(Clock)),
       m_Random(std::move(Random)), m_Contact(std::move(Contact)), m_OnList(std::move(OnList)) {}
 
-void DaemonList::start() { spawn(m_Context, run(shared_from_this())); }
+void DaemonList::start() {
+  m_StartedAt = m_Clock();
+  spawn(m_Context, run(shared_from_this()));
+}
 
 void DaemonList::onStoreRestored() { spawn(m_Context, registerAgain(shared_from_this())); }
 
@@ -91,9 +96,37 @@
     co_return;
   m_HeartbeatSentAt = Now;
   m_HeartbeatSaidCounted = Counted;
+  if (!m_Join.registered())
+    openRetryBudgets();
   m_Join.onRegistered(m_Clock());
 }
 
+void DaemonList::openRetryBudgets() {
+  const TimePoint Now = m_Clock();
+  if (m_InheritedRetryUse)
+    m_State.restoreRetryUse(*m_InheritedRetryUse, m_InheritedAt);
+  const bool UseUnknown = m_Join.replacesProcess() && !m_InheritedRetryUse;
+  // A process that was killed may have used all of its budgets just before this one started.
+  m_State.allowRetriesFrom(UseUnknown ? m_StartedAt + m_State.retryWindow() : Now);
+  m_Log.add(
+      LogClass::State, "retries_allowed",
+      {{"after_ms", inMilliseconds(UseUnknown ? m_StartedAt + m_State.retryWindow() - Now : Duration())},
+       {"inherited", static_cast<std::int64_t>(m_InheritedRetryUse.has_value())}});
+}
+
+asio::awaitable<void> DaemonList::handOver() {
+  const TimePoint Now = m_Clock();
+  const bool UseKnown = m_State.allowsRetries(Now);
+  m_Stopped = true;
+  m_State.allowRetriesFrom(TimePoint::max());
+  if (!m_Join.registered() || !UseKnown)
+    co_return;
+  DaemonHeartbeat Last{m_State.m_PlacementContext.m_Instance, m_Contact(), isCounted(),
+                       m_State.retryUse(Now)};
+  const Expected<Done> Written = co_await m_Store.registerDaemon(std::move(Last));
+  logFailure(m_Log, "retry_use_not_handed_over", Written);
+}
+
 asio::awaitable<void> DaemonList::readList() {
   const Expected<std::vector<ListedDaemon>> Listed = co_await m_Store.readDaemons();
   logFailure(m_Log, "daemons_not_read", Listed);
@@ -121,6 +154,10 @@
   });
   const bool IsListed = Own != Listed.end();
   m_Join.onListRead(IsListed, IsListed && Own->m_Counted ? Own->m_HeartbeatAge : std::nullopt, m_Clock());
+  if (m_Join.registered())
+    return;
+  m_InheritedRetryUse = IsListed ? Own->m_FinalRetryUse : std::nullopt;
+  m_InheritedAt = m_Clock();
 }
 
 asio::awaitable<void> DaemonList::registerAgain(std::shared_ptr<DaemonList> Self) {
--- a/packages/gateway/src/daemon_list.h
+++ b/packages/gateway/src/daemon_list.h
@@ -34,6 +34,9 @@
 
   void start();
   void stop() { m_Stopped = true; }
+  /// @brief Ends retries and heartbeats, and writes what this daemon has used of the retry budgets, for the
+  /// next process under its id. Nothing is written if that isn't known.
+  boost::asio::awaitable<void> handOver();
   /// @brief Gives this daemon its shares of the common limits once it is counted. Called periodically.
   void onTick();
   /// @brief Called when the store has come back from an older copy: registers again, as the row may be lost
@@ -53,6 +56,8 @@
   boost::asio::awaitable<void> readList();
   /// Takes what the list says of this daemon, or of the process before it.
   void applyOwnRow(const std::vector<ListedDaemon> &Listed);
+  /// Allows retries, within what the process before this one has left of the budgets.
+  void openRetryBudgets();
   /// @return whether the list was read before a restore of the store
   bool isOutdated(const std::vector<ListedDaemon> &Listed) const;
   /// @return whether this daemon is counted by the others
@@ -78,6 +83,10 @@
   std::optional<StoreEra> m_ListEra; ///< Era in which the list was last read.
   std::optional<TimePoint> m_HeartbeatSentAt;
   bool m_HeartbeatSaidCounted = false; ///< What the latest heartbeat said.
+  TimePoint m_StartedAt{};
+  /// Read before the own registration: what the process before this one has left behind.
+  std::optional<ServiceRetryUse> m_InheritedRetryUse;
+  TimePoint m_InheritedAt{};
 };
 
 } // namespace bulrushpitch
--- a/packages/gateway/src/gateway_state.cpp
+++ b/packages/gateway/src/gateway_state.cpp
@@ -25,11 +25,29 @@
   const auto Found = m_Budgets.find(Id);
   if (Found != m_Budgets.end())
     return Found->second;
-  const Duration Window = durationOf(m_Bounds.m_RetryWindow);
-  const RetryWindow Budget(Window, m_Bounds.m_RetryShare * UsedRetryShare, retryReserve());
+  RetryWindow Budget(retryWindow(), m_Bounds.m_RetryShare * UsedRetryShare, retryReserve());
+  Budget.allowFrom(m_RetriesAllowedFrom);
   return m_Budgets.emplace(Id, Budget).first->second;
 }
 
+void GatewayState::allowRetriesFrom(TimePoint Time) {
+  m_RetriesAllowedFrom = Time;
+  for (auto &Entry : m_Budgets)
+    Entry.second.allowFrom(Time);
+}
+
+void GatewayState::restoreRetryUse(const ServiceRetryUse &Used, TimePoint Now) {
+  for (const ServiceRetryUse::value_type &Service : Used)
+    retryBudgetOf(Service.first).restore(Service.second, Now);
+}
+
+ServiceRetryUse GatewayState::retryUse(TimePoint Now) const {
+  ServiceRetryUse Used;
+  for (const auto &Entry : m_Budgets)
+    Used[Entry.first] = Entry.second.use(Now);
+  return Used;
+}
+
 void GatewayState::setDaemons(std::vector<InstanceId> Daemons) {
   if (std::find(Daemons.begin(), Daemons.end(), m_PlacementContext.m_Instance) == Daemons.end())
     Daemons.push_back(m_PlacementContext.m_Instance);
--- a/packages/gateway/src/relayed_response.cpp
+++ b/packages/gateway/src/relayed_response.cpp
@@ -80,8 +80,10 @@
   std::vector<UpstreamId> Tried = std::exchange(m_Tried, {});
   if (!retryDenialNow(AttemptOutcome::Escalated) &&
       m_Dependencies.m_State.retryBudgetOf(m_Service).takeRetry(m_Dependencies.m_Clock(),
-                                                                RetryShareKeptFromEscalations))
+                                                                RetryShareKeptFromEscalations)) {
+    recordRetry(AttemptOutcome::Escalated);
     return true;
+  }
   m_Tried = std::move(Tried);
   return false;
 }
--- a/packages/gateway/src/request_retry.cpp
+++ b/packages/gateway/src/request_retry.cpp
@@ -161,9 +161,17 @@
     return std::nullopt;
   if (!m_Dependencies.m_State.retryBudgetOf(m_Service).takeRetry(m_Dependencies.m_Clock()))
     return RetryDenial::BudgetUsed;
+  recordRetry(Last);
   return std::nullopt;
 }
 
+void ForwardedRequest::recordRetry(AttemptOutcome Cause) {
+  m_Dependencies.m_Metrics
+      .counter("bulrushpitch_retries_total", "Retries that were charged to the retry budget, by cause.",
+               {{"cause", std::string(nameOf(Cause))}})
+      .add();
+}
+
 asio::awaitable<std::optional<RetryDenial>> ForwardedRequest::awaitRetry(AttemptOutcome Last) {
   std::optional<RetryDenial> Denial = acquireRetry(Last);
   if (!Denial || !isTemporary(*Denial) || !m_Writer.begun())
--- a/packages/gateway/tests/control_service_test.cpp
+++ b/packages/gateway/tests/control_service_test.cpp
@@ -1031,3 +1031,84 @@
   // Each of the twenty daemons, and few of them again.
   CHECK(m_RelayCalls < 40);
 }
+
+// Guards against repeats beyond what is allowed: a restarted daemon began with a whole new retry budget.
+TEST_CASE_FIXTURE(Fixture,
+                  "a daemon that replaces a process starts with what that one has left of the budgets") {
+  const ServiceId Service("s");
+  const auto ListOwnRow = [this](std::optional<ServiceRetryUse> Used) {
+    m_Store.m_Daemons = {
+        {InstanceId("d0"), 1, StoreEra(1), std::nullopt, std::chrono::seconds(2), true, std::move(Used)}};
+  };
+  const auto Retries = [&] {
+    RetryWindow &Budget = m_State->retryBudgetOf(Service);
+    for (int Request = 0; Request < 100; ++Request)
+      Budget.onRequest(systemClock()() + m_ClockAdvance);
+    return Budget.takeRetry(systemClock()() + m_ClockAdvance);
+  };
+  SUBCASE("killed: none for a window, as all may have been used") {
+    ListOwnRow(std::nullopt);
+    start();
+    CHECK_FALSE(Retries());
+    m_ClockAdvance = std::chrono::seconds(9);
+    CHECK_FALSE(Retries());
+    m_ClockAdvance = std::chrono::milliseconds(10'200);
+    CHECK(Retries());
+  }
+  SUBCASE("stopped in order, all used") {
+    ListOwnRow(ServiceRetryUse{{Service, {{std::chrono::seconds(1), 0, 1'000'000}}}});
+    start();
+    CHECK_FALSE(Retries());
+  }
+  SUBCASE("stopped in order, nothing used") {
+    ListOwnRow(ServiceRetryUse{});
+    start();
+    CHECK(Retries());
+  }
+  SUBCASE("a new daemon") {
+    m_Store.m_Daemons = {{InstanceId("d1"), 2, StoreEra(1)}};
+    start();
+    CHECK(Retries());
+  }
+  SUBCASE("not registered") {
+    m_Store.m_DaemonsUnreadable = true;
+    start();
+    CHECK_FALSE(Retries());
+  }
+}
+
+// Guards against a planned restart after which nothing is repeated for the length of a window.
+TEST_CASE_FIXTURE(Fixture,
+                  "a daemon that stops says what it has used of the retry budgets, and retries no more") {
+  m_Store.m_Daemons = {{InstanceId("d1"), 2, StoreEra(1)}};
+  start();
+  RetryWindow &Budget = m_State->retryBudgetOf(ServiceId("s"));
+  for (int Request = 0; Request < 20; ++Request)
+    Budget.onRequest(systemClock()());
+  REQUIRE(Budget.takeRetry(systemClock()()));
+  bool Done = false;
+  m_Control->handOver([&] { Done = true; });
+  runFor(milliseconds(100));
+  CHECK(Done);
+  CHECK_FALSE(Budget.takeRetry(systemClock()()));
+  REQUIRE(m_Store.m_LastHeartbeat.m_FinalRetryUse);
+  std::uint32_t Requests = 0;
+  std::uint32_t Retries = 0;
+  for (const RetryUse &Use : m_Store.m_LastHeartbeat.m_FinalRetryUse->at(ServiceId("s"))) {
+    Requests += Use.m_Requests;
+    Retries += Use.m_Retries;
+  }
+  CHECK(Requests == 20);
+  CHECK(Retries == 1);
+}
+
+// Guards against a use of the budgets that is passed on though it lacks that of the process before.
+TEST_CASE_FIXTURE(Fixture, "a daemon that stops before its budgets are known leaves the next one in doubt") {
+  m_Store.m_Daemons = {{InstanceId("d0"), 1, StoreEra(1), std::nullopt, std::chrono::seconds(2), true}};
+  start();
+  bool Done = false;
+  m_Control->handOver([&] { Done = true; });
+  runFor(milliseconds(100));
+  CHECK(Done);
+  CHECK_FALSE(m_Store.m_LastHeartbeat.m_FinalRetryUse);
+}
--- a/packages/gateway/tests/forwarder_fixture.h
+++ b/packages/gateway/tests/forwarder_fixture.h
@@ -128,6 +128,7 @@
     Settings.m_Bounds.m_RetryReserve = 100.0;
     m_State.emplace(Settings);
     m_State->setLimitShares(true);
+    m_State->allowRetriesFrom(TimePoint{});
     m_Log.emplace(
         systemClock(), systemWallClock(),
         [this](std::string_view Text) {
