Tests: daemons of upstream_notices earn their retries first

"an upstream that turns a request away for some seconds gets none in that time" failed in the first run of all tests: 212 of 216 requests were answered. Its trace shows the first request of each of the four daemons, 2.6 s after their start, refused by the pausing upstream and not repeated ("retry budget used"): daemons that have just started have no reserve until all others count them. The test sends 40 requests before the pause begins; all are still to be answered, and no check or bound has changed.

--- a/packages/daemon/tests/group/upstream_notices_test.cpp
+++ b/packages/daemon/tests/group/upstream_notices_test.cpp
@@ -205,6 +205,8 @@
   constexpr seconds Pause{3};
   start(4, 2);
   NoticingUpstream &Pausing = *m_Upstreams.front();
+  // Daemons that have just started may repeat only as much as their requests have earned.
+  send(milliseconds(500), 80.0);
   Pausing.m_Status = 503;
   Pausing.m_Notices.add("Retry-After", std::to_string(Pause.count()));
   send(Pause - milliseconds(300), 80.0);
