--- a/packages/daemon/include/bulrushpitch/daemon/gateway_daemon.h
+++ b/packages/daemon/include/bulrushpitch/daemon/gateway_daemon.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpitch/config/gateway_settings.h"
 #include "bulrushpitch/core/error.h"
+#include "bulrushpitch/gateway/entry_service.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -27,6 +28,8 @@
   /// @brief Logs that the settings file has changed and whether that needs a restart. Addresses, failure
   /// domain and region stay as they are until then.
   void reload(const GatewaySettings &Loaded);
+  /// @return where the daemon listens; the ports are the real ones where the settings ask for 0
+  EntryAddresses addresses() const;
   /// @return the exit code of the process: 0 after a graceful stop
   int exitCode() const;
 
--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -76,6 +76,7 @@
               {{"needs_restart", static_cast<std::int64_t>(!(Loaded == m_Settings))}});
   }
 
+  EntryAddresses addresses() { return entry().addresses(); }
   int exitCode() const { return m_ExitCode; }
 
 private:
@@ -216,6 +217,7 @@
 Result<void> GatewayDaemon::start() { return m_Impl->start(); }
 void GatewayDaemon::drain() { m_Impl->drain(); }
 void GatewayDaemon::reload(const GatewaySettings &Loaded) { m_Impl->reload(Loaded); }
+EntryAddresses GatewayDaemon::addresses() const { return m_Impl->addresses(); }
 int GatewayDaemon::exitCode() const { return m_Impl->exitCode(); }
 
 } // namespace bulrushpitch
--- a/packages/daemon/tests/gateway_daemon_test.cpp
+++ b/packages/daemon/tests/gateway_daemon_test.cpp
@@ -15,12 +15,6 @@
 
 namespace {
 
-/// @return a port that was free at the time of the call
-std::uint16_t freePort(asio::io_context &Context) {
-  asio::ip::tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
-  return Acceptor.local_endpoint().port();
-}
-
 /// A complete gateway daemon with a stand-in for the store and one upstream that responds after 400 ms.
 struct Fixture {
   Fixture() {
@@ -30,8 +24,8 @@
     m_Settings.m_Domain = DomainId("west-a");
     m_Settings.m_Region = RegionId("west");
     m_Settings.m_Domains = {{DomainId("west-a"), RegionId("west")}};
-    m_Settings.m_Listen.m_Callers = {"127.0.0.1", freePort(m_Context)};
-    m_Settings.m_Listen.m_Readiness = {"127.0.0.1", freePort(m_Context)};
+    m_Settings.m_Listen.m_Callers = {"127.0.0.1", 0};
+    m_Settings.m_Listen.m_Readiness = {"127.0.0.1", 0};
     m_Settings.m_Store = {"127.0.0.1", m_Store.address().m_Port};
     m_Settings.m_GracePeriod = 4.0;
   }
@@ -49,6 +43,11 @@
   void start() {
     m_Daemon.emplace(m_Context, m_Settings);
     REQUIRE(capture([this] { return m_Daemon->start(); }));
+    const EntryAddresses Bound = m_Daemon->addresses();
+    m_Settings.m_Listen.m_Callers.m_Port = Bound.m_Callers.m_Port;
+    m_Settings.m_Listen.m_Readiness.m_Port = Bound.m_Readiness.m_Port;
+    if (Bound.m_Metrics)
+      m_Settings.m_Listen.m_Metrics->m_Port = Bound.m_Metrics->m_Port;
   }
 
   HttpServer upstream() {
@@ -191,7 +190,7 @@
 }
 
 TEST_CASE_FIXTURE(Fixture, "a request that can't be read is counted as a fault of its connection") {
-  m_Settings.m_Listen.m_Metrics = SocketAddress{"127.0.0.1", freePort(m_Context)};
+  m_Settings.m_Listen.m_Metrics = SocketAddress{"127.0.0.1", 0};
   publish();
   start();
   runFor(milliseconds(300));
--- a/packages/daemon/tests/support/daemon_group.h
+++ b/packages/daemon/tests/support/daemon_group.h
@@ -35,9 +35,9 @@
     Settings.m_Domain = DomainId(Domain);
     Settings.m_Domains = {{DomainId("west-a"), RegionId("west")}, {DomainId("hill-a"), RegionId("hill")}};
     Settings.m_Region = Settings.m_Domains[Settings.m_Domain];
-    Settings.m_Listen.m_Callers = {"127.0.0.1", freePort()};
-    Settings.m_Listen.m_Readiness = {"127.0.0.1", freePort()};
-    Settings.m_Listen.m_Peers = SocketAddress{"127.0.0.1", freePort()};
+    Settings.m_Listen.m_Callers = {"127.0.0.1", 0};
+    Settings.m_Listen.m_Readiness = {"127.0.0.1", 0};
+    Settings.m_Listen.m_Peers = SocketAddress{"127.0.0.1", 0};
     Settings.m_Store = {Store.m_Address, Store.m_Port};
     Settings.m_Bounds.m_RetryShare = 1.0;
     Settings.m_Bounds.m_RetryReserve = 100.0;
@@ -56,7 +56,7 @@
   /// @brief The daemon stands still from now on.
   void freeze(std::size_t Index) { m_Members[Index]->m_Frozen = true; }
   /// @return where the daemon serves callers
-  Endpoint callers(std::size_t Index) const { return m_Members[Index]->m_Callers; }
+  Endpoint callers(std::size_t Index) const { return m_Members[Index]->m_Daemon.addresses().m_Callers; }
 
   void runFor(std::chrono::milliseconds Period) {
     const TimePoint End = systemClock()() + Period;
@@ -76,11 +76,8 @@
 
 private:
   struct Member {
-    explicit Member(const GatewaySettings &Settings)
-        : m_Callers{Settings.m_Listen.m_Callers.m_Address, Settings.m_Listen.m_Callers.m_Port},
-          m_Daemon(m_Context, Settings) {}
+    explicit Member(const GatewaySettings &Settings) : m_Daemon(m_Context, Settings) {}
 
-    Endpoint m_Callers;
     boost::asio::io_context m_Context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_Work =
         boost::asio::make_work_guard(m_Context);
@@ -88,11 +85,6 @@
     bool m_Frozen = false;
   };
 
-  std::uint16_t freePort() {
-    boost::asio::ip::tcp::acceptor Acceptor(m_Context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return Acceptor.local_endpoint().port();
-  }
-
   boost::asio::io_context &m_Context;
   std::vector<std::unique_ptr<Member>> m_Members;
 };
--- a/packages/gateway/include/bulrushpitch/gateway/entry_service.h
+++ b/packages/gateway/include/bulrushpitch/gateway/entry_service.h
@@ -9,6 +9,13 @@
 
 namespace bulrushpitch {
 
+/// @brief Where a daemon listens.
+struct EntryAddresses {
+  Endpoint m_Callers;
+  Endpoint m_Readiness;
+  std::optional<Endpoint> m_Metrics; ///< Empty if there is no such page.
+};
+
 /// @brief The gateway's HTTP listeners for callers, readiness checks and metrics.
 class EntryService : public Service {
 public:
@@ -27,6 +34,8 @@
   /// @brief Answers 502 to the caller requests in progress whose response has not begun.
   /// @return their number
   std::size_t answerUnanswered();
+  /// @return the bound addresses; the ports are the real ones where 0 was asked for
+  EntryAddresses addresses() const;
   /// @return number of caller requests in progress
   std::size_t activeRequests() const { return m_Callers.activeRequests(); }
 
--- a/packages/gateway/src/entry_service.cpp
+++ b/packages/gateway/src/entry_service.cpp
@@ -99,6 +99,13 @@
     m_MetricsPage->closeAll();
 }
 
+EntryAddresses EntryService::addresses() const {
+  EntryAddresses Bound{m_Callers.address(), m_Readiness.address(), std::nullopt};
+  if (m_MetricsPage)
+    Bound.m_Metrics = m_MetricsPage->address();
+  return Bound;
+}
+
 void EntryService::applyLimits(const CallerLimits &Limits) { m_Callers.setLimits(callerLimits(Limits)); }
 
 void EntryService::leaveRotation() {
