Fix: a response whose status is none was taken for an interim or a final one

What callers saw, one daemon and one engine of each service as real processes, an answer with the right Attempt-Id, signature and body: with status 000, 001 or 099 each read and debit was answered 504 after its 1.2 s, each stream after 2.5 s, though the answer had come at once. With status 600 or 999 the debit's caller got that answer with this status and the engine's signature.

Cause: the parser accepts any three digits. Each status under 200 was taken for an interim response, dropped, and the next one awaited; each one from 500 on for the engine's failure.

Change: a response whose status is outside 100 to 599 is an error of the protocol (503) at once, as every other head that can't be read. So is 101, which no request asks for: after it the connection speaks another protocol, and the call was held until its timeout as well.

Interim responses 100, 102, 103 and 199 are passed over as before.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "bulrushpitch/net/http_client.h"
 
 #include "detail/deadlines.h"
+#include "detail/response_framing.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -248,12 +249,11 @@
       m_Headers = HttpHeaders();
       for (const http::fields::value_type &Field : m_Parser->get())
         m_Headers.add(std::string(Field.name_string()), std::string(Field.value()));
-      // The parser rejects only chunks beside a length; with any other coding the end is ambiguous as well.
-      if (m_Headers.find("Transfer-Encoding") && m_Headers.find("Content-Length")) {
+      if (const error_code Fault = headFault()) {
         m_Connection->m_Watched.disarm();
-        co_return headError(http::error::bad_transfer_encoding);
+        co_return headError(Fault);
       }
-      if (m_Parser->get().result_int() >= 200 && (!Options.m_Belongs || Options.m_Belongs(m_Headers)))
+      if (!detail::isInterim(status()) && (!Options.m_Belongs || Options.m_Belongs(m_Headers)))
         break;
       if (const error_code Dropped = co_await dropBody()) {
         m_Connection->m_Watched.disarm();
@@ -307,6 +307,16 @@
     Used->m_RequestSent = !Code;
   }
 
+  /// @return what is wrong with a head that the parser accepted
+  error_code headFault() const {
+    if (const error_code Fault = detail::statusFault(status()))
+      return Fault;
+    // The parser rejects only chunks beside a length; with any other coding the end is ambiguous as well.
+    if (m_Headers.find("Transfer-Encoding") && m_Headers.find("Content-Length"))
+      return http::error::bad_transfer_encoding;
+    return {};
+  }
+
   void countReceived(std::size_t Bytes) {
     m_Received += Bytes;
     m_Owner->m_Received += Bytes;
--- /dev/null
+++ b/tests/process/broken_answers.py
@@ -0,0 +1,187 @@
+"""One gateway daemon, and engines that answer each kind of request with bytes that are no whole answer.
+
+Guards against a broken answer that a caller takes for a whole one, and against a request that is held until its time
+limit though its broken answer has come. After each broken answer an ordinary request has to be answered as in calm.
+FORM: status.
+"""
+import asyncio
+import os
+import random
+import socket
+import sys
+import tempfile
+
+ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
+sys.path.insert(0, os.path.join(ROOT, "review", "lib"))
+import standins as s
+
+if "BUILD" in os.environ:  # The stand-ins start the program of the deploy file; here the one of this build.
+    s.ROOT = tempfile.mkdtemp()
+    os.symlink(os.path.abspath(os.path.join(ROOT, "deploy")), os.path.join(s.ROOT, "deploy"))
+    os.symlink(os.environ["BUILD"], os.path.join(s.ROOT, "target"))
+
+FORM = os.environ.get("FORM", "status")
+SEED = int(os.environ.get("SEED", "1"))
+UPLOAD_BYTES = 4 << 20
+# So that the daemon can't have written a long request before the engine's end of the connection.
+RECEIVE_BUFFER_BYTES = 4096
+BODY = b"the engine's whole body"
+EVENTS = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+KINDS = {"read": ("GET", "/cufi504/1"), "debit": ("POST", "/puxa403/1"), "stream": ("POST", "/lohu930/1")}
+TIME_LIMIT_S = 1.2  # TimeoutMs of the routes that aren't streams.
+
+
+def chunked(body):
+    return f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+
+
+class Form:
+    """One way of answering: the bytes after the status line, and what happens to the connection."""
+
+    def __init__(self, name, line=b"HTTP/1.1 200 X", fields=b"", framing="length", cut=False, end="keep", pause_s=0.05,
+                 upload=False, sound=False):
+        self.name, self.line, self.fields, self.framing, self.cut, self.end = name, line, fields, framing, cut, end
+        self.pause_s, self.upload, self.sound = pause_s, upload, sound
+
+    def bytes_for(self, request_id, stream):
+        body = EVENTS if stream else BODY
+        kind = b"Content-Type: text/event-stream\r\nConfidence: 100\r\n" if stream else b""
+        head = (self.line + b"\r\nAttempt-Id: " + request_id + b"\r\nResponse-Signature: sig." + request_id + b"\r\n" +
+                kind + self.fields)
+        if self.framing == "length":
+            head += f"Content-Length: {len(body)}\r\n".encode()
+        if self.framing == "chunked":
+            head += b"Transfer-Encoding: chunked\r\n"
+        if self.cut:  # After a whole event, so that only the framing tells that something is missing.
+            body = body[:len(EVENTS) // 2]
+        return head + b"\r\n" + (chunked(body) if self.framing in ("chunked", "hidden-chunked") else body)
+
+
+def forms():
+    if FORM == "status":
+        for status in ("000", "001", "099", "600", "999"):
+            for framing in ("length", "chunked", "none"):
+                yield Form(f"{status} {framing}", line=f"HTTP/1.1 {status} X".encode(), framing=framing,
+                           end="close" if framing == "none" else "keep")
+
+
+class Engine(s.Engine):
+    """Answers what `form` says once it has read a head; without a form, reads the whole request and answers it."""
+
+    form = None
+
+    async def start(self):
+        await super().start()
+        # Connections take the size of the buffer over from the listening socket.
+        for listening in self._server.sockets:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+    async def _channel(self, reader, writer):
+        try:
+            while (head := await s.read_head(reader)) is not None:
+                await self._serve_one(head, reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(self, head, reader, writer):
+        line, fields = head
+        request_id = s.field(fields, "Attempt-Id", "").encode()
+        form = self.form if request_id.startswith(b"broken") else None
+        if form and form.upload:
+            reader._transport.pause_reading()  # The rest of the request stays in the system's small buffer.
+        else:
+            await s.read_body(reader, fields)
+        if not request_id:
+            writer.write(b"HTTP/1.1 400 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            return
+        form = form or Form("sound")
+        writer.write(form.bytes_for(request_id, self.service == "pitch-llm"))
+        if form.end == "keep":
+            return
+        await asyncio.sleep(form.pause_s)
+        if form.end == "read-on":
+            writer.write_eof()
+            reader._transport.resume_reading()
+            await s.read_body(reader, fields)
+        if form.end == "end-then-reset":
+            writer.write_eof()
+            await asyncio.sleep(form.pause_s)
+        if form.end in ("reset", "end-then-reset"):
+            s.reset(writer)
+        writer.close()
+        raise ConnectionError
+
+
+def fault(form, kind, status, fields, body, whole, took_s):
+    """Returns what is wrong with what a caller got, or nothing."""
+    expected = EVENTS if kind == "stream" else BODY
+    if form.sound:
+        return None if (status, whole, body) == (200, True, expected) else "a sound answer did not arrive"
+    if whole and 200 <= status < 300:
+        return "a broken answer passes for a whole one"
+    if not status or (status != 200 and not 400 <= status <= 599):
+        return "the caller got no answer in the protocol"
+    if status != 502 and not (status == 200 and not whole):
+        return "the broken answer was not told to the caller"
+    if kind != "stream" and took_s >= TIME_LIMIT_S:
+        return "the request was held until its time limit"
+    return None
+
+
+async def case(world):
+    random.seed(SEED)
+    engines = []
+    for name, service in (("i-llm-0", "pitch-llm"), ("i-till-0", "till")):
+        engines.append(Engine(world.store, world.record, name, service, "west-a", None))
+        await engines[-1].start()
+    config = s.config()
+    config["Limits"]["MaxBodyBytes"] = 2 * UPLOAD_BYTES
+    await world.store.put("op", "config", config)
+    daemon = world.daemon("front-west-a-1")
+    daemon.start()
+    if not await daemon.wait_ready():
+        return 2
+
+    async def heartbeats():
+        while True:
+            await asyncio.sleep(s.HEARTBEAT_S)
+            for engine in engines:
+                await engine.register("ready")
+    beats = asyncio.ensure_future(heartbeats())
+
+    async def ask(kind, request_id, body):
+        method, target = KINDS[kind]
+        more = [("Model", "m0"), ("Token-Usage", "1460,80"), ("Prompt-Prefix", "00000001:800,00000002:250")]
+        channel = s.Channel(daemon.callers)
+        begin = world.record.now()
+        answer = await channel.request(
+            s.request_bytes("POST" if body else method, target, request_id, body, 2500, more), 5.0)
+        channel.close()
+        return *answer, world.record.now() - begin
+
+    faults, count = [], 0
+    for form in forms():
+        for kind in KINDS:
+            count += 1
+            for engine in engines:
+                engine.form = form
+            broken = await ask(kind, f"broken-{count}", b"x" * UPLOAD_BYTES if form.upload else b"")
+            found = fault(form, kind, *broken)
+            ordinary = await ask(kind, f"ordinary-{count}", b"")
+            if not found and (ordinary[0] != 200 or not ordinary[3]):
+                found = f"the ordinary request after it got {ordinary[0]}"
+            world.record.add("case", form=form.name, kind=kind, status=broken[0], whole=broken[3],
+                             took_s=round(broken[4], 3), fault=found)
+            if found:
+                faults.append(found)
+                print(f"{form.name}, {kind}: status {broken[0]}, whole {broken[3]}, {len(broken[2])} bytes, "
+                      f"{broken[4]:.2f} s: {found}")
+    beats.cancel()
+    alive = daemon.process.poll() is None
+    print(f"{FORM}, seed {SEED}: {count} answers, {len(faults)} faults, daemon alive {alive}")
+    return 0 if alive and not faults else 1
+
+
+s.run_case(tempfile.mkdtemp(), case, 170)
