Fix: a field whose name follows a blank ended in the value of the one before

What callers saw, one daemon and one engine of each service as real processes: an answer with the line " Transfer-Encoding: chunked", or with a tab before the name, was passed on as a 200 whose body were the chunks with their sizes (34 bytes in place of 23). With " X-Field: x" or " Content-Length: 23" the answer was passed on with the line joined to the field before it. Reads, debits and streams alike.

Cause: a line that begins with a blank continues the one before (obs-fold). The parser joins the two and leaves no trace of it, so what says how the body is framed became part of another field, and the body's end that of the connection. Blanks and control bytes at any other place in a name, or between it and the colon, were errors before, and are tested now.

Change: the client hands the parser what arrives of a head itself, and looks for a continued line first; such an answer is an error of the protocol (503), which RFC 9112, section 5.2, allows a gateway.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 
 #include <netinet/in.h>
@@ -230,17 +231,13 @@
       m_Parser.emplace();
       m_Parser->header_limit(MaxHeadBytes);
       m_Parser->body_limit(MaxStreamBodyBytes);
-      m_Parser->eager(true);
-      error_code Code;
-      countReceived(co_await http::async_read_header(socket(), m_Connection->m_Buffer, *m_Parser,
-                                                     asio::redirect_error(asio::use_awaitable, Code)));
+      error_code Code = co_await readFields();
       while (Code && m_Connection->m_Watched.m_Expired && Options.m_OnHeadTimeout) {
         const Duration More = Options.m_OnHeadTimeout();
         if (More <= Duration::zero())
           break;
         m_Connection->m_Watched.arm(More);
-        countReceived(co_await http::async_read_header(socket(), m_Connection->m_Buffer, *m_Parser,
-                                                       asio::redirect_error(asio::use_awaitable, Code)));
+        Code = co_await readFields();
       }
       if (Code) {
         m_Connection->m_Watched.disarm();
@@ -307,6 +304,38 @@
     Used->m_RequestSent = !Code;
   }
 
+  /// Reads the rest of a head. After a timeout it may be called again.
+  asio::awaitable<error_code> readFields() {
+    boost::beast::flat_buffer &Buffer = m_Connection->m_Buffer;
+    error_code Code = Buffer.size() > 0 ? parseFields() : http::error::need_more;
+    while (Code == http::error::need_more) {
+      if (m_Connection->m_Watched.m_Expired)
+        co_return asio::error::operation_aborted;
+      const std::size_t Size = boost::beast::read_size(Buffer, ReadBytes);
+      if (Size == 0)
+        co_return http::error::header_limit;
+      Code.clear();
+      Buffer.commit(co_await socket().async_read_some(Buffer.prepare(Size),
+                                                      asio::redirect_error(asio::use_awaitable, Code)));
+      if (!Code)
+        Code = parseFields();
+    }
+    co_return Code;
+  }
+
+  /// Parses what has arrived of a head, and nothing of the body.
+  error_code parseFields() {
+    boost::beast::flat_buffer &Buffer = m_Connection->m_Buffer;
+    const asio::const_buffer Arrived = Buffer.data();
+    if (detail::hasFoldedLine({static_cast<const char *>(Arrived.data()), Arrived.size()}))
+      return http::error::bad_field;
+    error_code Code;
+    const std::size_t Parsed = m_Parser->put(Arrived, Code);
+    Buffer.consume(Parsed);
+    countReceived(Parsed);
+    return Code;
+  }
+
   /// @return what is wrong with a head that the parser accepted
   error_code headFault() const {
     if (const error_code Fault = detail::statusFault(status()))
--- a/packages/net/src/response_framing.cpp
+++ b/packages/net/src/response_framing.cpp
@@ -6,9 +6,12 @@
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
+using std::string_view;
 
 namespace {
 
+constexpr string_view LineEnd = "\r\n";
+constexpr string_view Blanks = " \t";
 constexpr unsigned MinStatus = 100;
 constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned MinFinalStatus = 200;
@@ -23,4 +26,17 @@
 
 bool isInterim(unsigned Status) { return Status < MinFinalStatus; }
 
+bool hasFoldedLine(string_view Bytes) {
+  std::size_t LineBegin = 0;
+  while (true) {
+    const std::size_t LineSize = Bytes.substr(LineBegin).find(LineEnd);
+    const bool EndsHead = LineSize == 0;
+    if (EndsHead || LineSize == string_view::npos)
+      return false;
+    LineBegin += LineSize + LineEnd.size();
+    if (LineBegin < Bytes.size() && Blanks.find(Bytes[LineBegin]) != string_view::npos)
+      return true;
+  }
+}
+
 } // namespace bulrushpitch::detail
--- a/packages/net/tests/broken_answer_test.cpp
+++ b/packages/net/tests/broken_answer_test.cpp
@@ -91,3 +91,55 @@
     CHECK((*Outcome)->m_Body == "whole");
   }
 }
+
+// Guards against a field that one reader of the response sees and another doesn't. Where it says how the body
+// is framed, the framing itself would become a body that ends with the connection.
+TEST_CASE_FIXTURE(Fixture, "a response with a blank or a control byte in a field's name is an error") {
+  std::vector<std::string> Lines{": value", "Name", "Na me: value", "Name\r: value"};
+  for (const std::string Name : {"Name", "Content-Length", "Transfer-Encoding"}) {
+    const std::string Value = Name == "Content-Length" ? "5" : "chunked";
+    for (const char Character : {' ', '\t', '\0', '\x01', '\v', '\x1f', '\x7f', '\x80', '\n', '\r'}) {
+      const std::string Byte(1, Character);
+      Lines.push_back(Byte + Name + ": " + Value);
+      Lines.push_back(Name.substr(0, 2) + Byte + Name.substr(2) + ": " + Value);
+      Lines.push_back(Name + Byte + ": " + Value);
+    }
+  }
+  for (const std::string &Line : Lines)
+    for (const std::string Before : {"", "Other: value\r\n"})
+      for (const std::string Body : {"5\r\nwhole\r\n0\r\n\r\n", "whole"}) {
+        CAPTURE(Before);
+        CAPTURE(Line);
+        serve(
+            RawReply{{OkLine + Before + Line + "\r\nLast: value\r\n\r\n" + Body}, {}, {}, 0, RawEnd::Close});
+        CHECK(exchangeError() == ErrorCode::UpstreamProtocol);
+      }
+}
+
+// The line after the break tells whether the one before is continued.
+TEST_CASE_FIXTURE(Fixture, "a response with a folded line is an error wherever its bytes are cut") {
+  const std::string Bytes =
+      OkLine + "Other: value\r\n Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+  for (std::size_t At = 1; At < Bytes.size(); ++At) {
+    CAPTURE(At);
+    serve(RawReply{{Bytes.substr(0, At), Bytes.substr(At)}, milliseconds(3), {}, 0, RawEnd::Close});
+    CHECK(exchangeError() == ErrorCode::UpstreamProtocol);
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a body may hold what is an error in a head") {
+  const std::string Body = "\r\n folded\r\n\tfolded\r\nNa me: value\r\n\r\nHTTP/1.1 000 X\r\n";
+  const std::string Length = "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  for (const std::string &Head :
+       {OkLine + "\r\n", OkLine + Length + "\r\n", OkLine + "A: b\r\n" + Length + "\r\n"})
+    for (std::size_t At = 1; At < Head.size() + 4; ++At) {
+      CAPTURE(Head);
+      CAPTURE(At);
+      const std::string Bytes = Head + Body;
+      serve(RawReply{{Bytes.substr(0, At), Bytes.substr(At)}, milliseconds(2), {}, 0, RawEnd::Close});
+      const std::optional<Expected<HttpResponse>> Outcome = exchange();
+      REQUIRE(Outcome);
+      REQUIRE(*Outcome);
+      CHECK((*Outcome)->m_Body == Body);
+    }
+}
--- a/tests/process/broken_answers.py
+++ b/tests/process/broken_answers.py
@@ -2,7 +2,7 @@
 
 Guards against a broken answer that a caller takes for a whole one, and against a request that is held until its time
 limit though its broken answer has come. After each broken answer an ordinary request has to be answered as in calm.
-FORM: status.
+FORM: status, field-name.
 """
 import asyncio
 import os
@@ -63,6 +63,15 @@
             for framing in ("length", "chunked", "none"):
                 yield Form(f"{status} {framing}", line=f"HTTP/1.1 {status} X".encode(), framing=framing,
                            end="close" if framing == "none" else "keep")
+    if FORM == "field-name":
+        for byte in (b" ", b"\t", b"\x00", b"\x01", b"\x1f", b"\x7f"):
+            for name in (b"X-Field", b"Content-Length", b"Transfer-Encoding"):
+                value = {b"X-Field": b"x", b"Transfer-Encoding": b"chunked"}.get(name, str(len(BODY)).encode())
+                for line in (byte + name, name[:4] + byte + name[4:], name + byte):
+                    framing = {b"Transfer-Encoding": "hidden-chunked", b"X-Field": "length"}.get(name, "none")
+                    yield Form(f"{line!r}", fields=line + b": " + value + b"\r\n", framing=framing,
+                               end="keep" if framing == "length" else "close")
+
 
 
 class Engine(s.Engine):
