Test: the fuzz of framings took a head that its flood completes for a cut one

The check said that no body may pass, as it compared the size of what came before the flood.

Now it compares the bytes: a body passes only if the bytes that were sent begin with the whole undamaged head, and it has to be the bytes behind it. Where the flood doesn't complete the head the check is what it was.

--- a/packages/net/tests/answer_framing_fuzz_test.cpp
+++ b/packages/net/tests/answer_framing_fuzz_test.cpp
@@ -51,7 +51,7 @@
   bool m_Damaged = false; ///< The bytes may be no response, or another one.
   bool m_Cut = false; ///< The end is missing; with Framing::Connection the body is then what has been sent.
   bool m_Surplus = false; ///< Bytes that belong to no request follow.
-  std::size_t m_HeadBytes = 0;
+  std::string m_Head;     ///< With all that comes before it, undamaged.
   RawReply m_Reply;
 };
 
@@ -91,7 +91,7 @@
   if (Made.m_Framing == Framing::Chunks)
     Head += "Transfer-Encoding: chunked\r\n";
   Head += "\r\n";
-  Made.m_HeadBytes = Head.size();
+  Made.m_Head = Head;
   Made.m_Bytes = Head + (Made.m_Framing == Framing::Chunks ? chunked(Made.m_Body, Source) : Made.m_Body);
   return Made;
 }
@@ -164,8 +164,8 @@
     Made.m_Cut = true;
     Made.m_Bytes.resize(below(Source, Made.m_Bytes.size()));
     Made.m_Reply.m_End = static_cast<RawEnd>(below(Source, 3));
-    if (Made.m_Framing == Framing::Connection && Made.m_Bytes.size() >= Made.m_HeadBytes)
-      Made.m_Body = Made.m_Bytes.substr(Made.m_HeadBytes);
+    if (Made.m_Framing == Framing::Connection && Made.m_Bytes.size() >= Made.m_Head.size())
+      Made.m_Body = Made.m_Bytes.substr(Made.m_Head.size());
   } else if (oneIn(Source, 5) && Made.m_Framing != Framing::Connection) {
     Made.m_Surplus = true;
     Made.m_Bytes +=
@@ -235,20 +235,23 @@
     if (m_Current.m_Damaged)
       return Outcome->find("foreign") == std::string::npos && Outcome->find("other") == std::string::npos;
     const bool EndSeen = !m_Current.m_Cut || (m_Current.m_Framing == Framing::Connection &&
-                                              m_Current.m_Bytes.size() >= m_Current.m_HeadBytes &&
+                                              m_Current.m_Bytes.size() >= m_Current.m_Head.size() &&
                                               m_Current.m_Reply.m_End == RawEnd::Close);
     return EndSeen && *Outcome == m_Current.m_Body;
   }
 
   /// @return the only body that may pass for a whole one if a flood takes the place of the response's end
   std::string bodyFilledByFlood() const {
-    if (m_Current.m_Framing != Framing::Length || m_Current.m_Bytes.size() < m_Current.m_HeadBytes)
-      return m_Current.m_Framing == Framing::Chunks ? m_Current.m_Body : "no body may pass";
-    std::string Body = m_Current.m_Bytes.substr(m_Current.m_HeadBytes);
-    while (Body.size() < m_Current.m_Body.size())
-      Body += m_Current.m_Reply.m_Repeated;
-    Body.resize(m_Current.m_Body.size());
-    return Body;
+    if (m_Current.m_Framing == Framing::Chunks)
+      return m_Current.m_Body;
+    // The flood may complete a head that was cut just before its end.
+    const std::size_t Size = m_Current.m_Head.size() + m_Current.m_Body.size();
+    std::string Sent = m_Current.m_Bytes;
+    while (Sent.size() < Size)
+      Sent += m_Current.m_Reply.m_Repeated;
+    if (m_Current.m_Framing != Framing::Length || !Sent.starts_with(m_Current.m_Head))
+      return "no body may pass";
+    return Sent.substr(m_Current.m_Head.size(), m_Current.m_Body.size());
   }
 
   asio::io_context m_Context;
