Fix: an answer in another transfer coding than chunks passed for the body

What callers saw, one daemon and one engine of each service as real processes: Transfer-Encoding "gzip", "identity", none, "chunked, gzip", "chunked, chunked": a 200 whose body were the bytes between the head and the end of the connection, 34 bytes with the chunks' sizes in place of 23. "gzip, chunked" and "chunked;q=1": the body without its chunks, still coded. The field is hop-by-hop and not passed on, so nothing told the caller.

Cause: the parser takes each coding whose last one isn't exactly "chunked" for a body that ends with the connection. The client rejected such codings beside a length only.

Change: a Transfer-Encoding other than "chunked" is an error of the protocol (503). No request asks for another one.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
 #include <netinet/in.h>
@@ -20,6 +21,7 @@
 #include <array>
 #include <charconv>
 #include <map>
+#include <string_view>
 #include <vector>
 
 namespace bulrushpitch {
@@ -361,8 +363,10 @@
   error_code headFault() const {
     if (const error_code Fault = detail::statusFault(status()))
       return Fault;
-    // The parser rejects only chunks beside a length; with any other coding the end is ambiguous as well.
-    if (m_Headers.find("Transfer-Encoding") && m_Headers.find("Content-Length"))
+    // The parser rejects only chunks beside a length; with any other coding the end is ambiguous as well. And
+    // a body in another coding, for which no request asks, it would return as it is.
+    const std::optional<std::string_view> Coding = m_Headers.find("Transfer-Encoding");
+    if (Coding && (!boost::beast::iequals(*Coding, "chunked") || m_Headers.find("Content-Length")))
       return http::error::bad_transfer_encoding;
     return {};
   }
--- a/packages/net/tests/broken_answer_test.cpp
+++ b/packages/net/tests/broken_answer_test.cpp
@@ -116,6 +116,27 @@
       }
 }
 
+// Guards against a coded body that passes for the body: nothing tells the caller of the coding.
+TEST_CASE_FIXTURE(Fixture, "a response with another transfer coding than chunks is an error") {
+  const std::string Chunks = "5\r\nwhole\r\n0\r\n\r\n";
+  for (const std::string Coding :
+       {"gzip", "identity", "", "chunked, gzip", "gzip, chunked", "chunked, chunked", "chunked;q=1",
+        "\"chunked\"", "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip"}) {
+    CAPTURE(Coding);
+    serve(
+        RawReply{{OkLine + "Transfer-Encoding: " + Coding + "\r\n\r\n" + Chunks}, {}, {}, 0, RawEnd::Close});
+    CHECK(exchangeError() == ErrorCode::UpstreamProtocol);
+  }
+  for (const std::string Coding : {"chunked", "Chunked", " chunked\t"}) {
+    CAPTURE(Coding);
+    serve(RawReply{{OkLine + "Transfer-Encoding: " + Coding + "\r\n\r\n" + Chunks}});
+    const std::optional<Expected<HttpResponse>> Outcome = exchange();
+    REQUIRE(Outcome);
+    REQUIRE(*Outcome);
+    CHECK((*Outcome)->m_Body == "whole");
+  }
+}
+
 // The line after the break tells whether the one before is continued.
 TEST_CASE_FIXTURE(Fixture, "a response with a folded line is an error wherever its bytes are cut") {
   const std::string Bytes =
--- a/tests/process/broken_answers.py
+++ b/tests/process/broken_answers.py
@@ -2,7 +2,7 @@
 
 Guards against a broken answer that a caller takes for a whole one, and against a request that is held until its time
 limit though its broken answer has come. After each broken answer an ordinary request has to be answered as in calm.
-FORM: status, field-name, early-upload (an answer without a length, cut while the request is still being written).
+FORM: status, field-name, coding, early-upload (an answer without a length, cut while the request is still being written).
 """
 import asyncio
 import os
@@ -73,6 +73,10 @@
                     framing = {b"Transfer-Encoding": "hidden-chunked", b"X-Field": "length"}.get(name, "none")
                     yield Form(f"{line!r}", fields=line + b": " + value + b"\r\n", framing=framing,
                                end="keep" if framing == "length" else "close")
+    if FORM == "coding":
+        for coding in ("gzip", "identity", "", "chunked, gzip", "gzip, chunked", "chunked, chunked", "chunked;q=1"):
+            yield Form(repr(coding), fields=f"Transfer-Encoding: {coding}\r\n".encode(), framing="hidden-chunked",
+                       end="close")
     if FORM == "early-upload":
         for end in ("reset", "close", "end-then-reset"):
             for fields in (b"", b"Connection: close\r\n"):
