--- a/tests/process/broken_answers.py
+++ b/tests/process/broken_answers.py
@@ -26,6 +26,8 @@
 # So that the daemon can't have written a long request before the engine's end of the connection.
 RECEIVE_BUFFER_BYTES = 4096
 BODY = b"the engine's whole body"
+# Above what the daemon buffers: it has begun to pass this on when the cut comes.
+LARGE_PART = b"a part of a large body;" * 20000
 EVENTS = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
 KINDS = {"read": ("GET", "/cufi504/1"), "debit": ("POST", "/puxa403/1"), "stream": ("POST", "/lohu930/1")}
 TIME_LIMIT_S = 1.2  # TimeoutMs of the routes that aren't streams.
@@ -41,9 +43,9 @@
     """One way of answering: the bytes after the status line, and what happens to the connection."""
 
     def __init__(self, name, line=b"HTTP/1.1 200 X", fields=b"", framing="length", cut=False, end="keep", pause_s=0.05,
-                 upload=False, sound=False):
+                 upload=False, sound=False, large=False):
         self.name, self.line, self.fields, self.framing, self.cut, self.end = name, line, fields, framing, cut, end
-        self.pause_s, self.upload, self.sound = pause_s, upload, sound
+        self.pause_s, self.upload, self.sound, self.large = pause_s, upload, sound, large
 
     def bytes_for(self, request_id, stream):
         body = EVENTS if stream else BODY
@@ -55,7 +57,7 @@
         if self.framing == "chunked":
             head += b"Transfer-Encoding: chunked\r\n"
         if self.cut:  # After a whole event, so that only the framing tells that something is missing.
-            body = body[:len(EVENTS) // 2]
+            body = LARGE_PART if self.large and not stream else body[:len(EVENTS) // 2]
         return head + b"\r\n" + (chunked(body) if self.framing in ("chunked", "hidden-chunked") else body)
 
 
@@ -83,10 +85,10 @@
                 for pause_s in (0.05, 0.4, random.uniform(0.0, 0.4)):
                     yield Form(f"{end} after {pause_s:.2f} s, {fields!r}", fields=fields, framing="none", cut=True,
                                end=end, pause_s=pause_s, upload=True)
+            yield Form(f"{end} after a large part", framing="none", cut=True, end=end, upload=True, large=True)
         yield Form("sound, read to the end", framing="none", end="read-on", upload=True, sound=True)
 
 
-
 class Engine(s.Engine):
     """Answers what `form` says once it has read a head; without a form, reads the whole request and answers it."""
 
@@ -108,7 +110,7 @@
             writer.close()
 
     async def _serve_one(self, head, reader, writer):
-        line, fields = head
+        _, fields = head
         request_id = s.field(fields, "Attempt-Id", "").encode()
         form = self.form if request_id.startswith(b"broken") else None
         if form and form.upload:
