--- a/tests/process/broken_answers.py
+++ b/tests/process/broken_answers.py
@@ -85,6 +85,9 @@
                 for pause_s in (0.05, 0.4, random.uniform(0.0, 0.4)):
                     yield Form(f"{end} after {pause_s:.2f} s, {fields!r}", fields=fields, framing="none", cut=True,
                                end=end, pause_s=pause_s, upload=True)
+            for status in ("404", "500"):
+                yield Form(f"{status}, {end}", line=f"HTTP/1.1 {status} X".encode(), framing="none", cut=True, end=end,
+                           upload=True)
             yield Form(f"{end} after a large part", framing="none", cut=True, end=end, upload=True, large=True)
         yield Form("sound, read to the end", framing="none", end="read-on", upload=True, sound=True)
 
